--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+
+.PHONY: setup test lint format unit demo measure bench capacity proto clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements/lock.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements/lock.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check siskinproxy
+	$(BIN)/ruff check siskinproxy
+	$(BIN)/flake8 siskinproxy
+
+format: setup
+	$(BIN)/ruff check --fix --quiet siskinproxy || true
+	$(BIN)/ruff format siskinproxy
+
+unit: setup
+	$(BIN)/pytest
+
+test: lint unit
+
+demo: setup
+	$(BIN)/python -m siskinproxy.standins.demo
+
+measure: setup
+	$(BIN)/python -m siskinproxy.measure.compare --seed $(SEED)
+
+bench: setup
+	$(BIN)/python -m siskinproxy.measure.bench
+
+capacity: setup
+	$(BIN)/python -m siskinproxy.measure.capacity
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/siskinproxy/__init__.py
@@ -0,0 +1,3 @@
+"""Layer-4 load balancer that shares flow state over the packet path."""
+
+__all__ = ()
--- /dev/null
+++ b/siskinproxy/balancer/snapshot.py
@@ -0,0 +1,64 @@
+"""Routing snapshot that the control process sends to the packet process."""
+
+from typing import Literal
+
+import msgspec
+
+from siskinproxy.operators.configuration import Configuration
+
+__all__ = ('Member', 'RoutingSnapshot')
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Instance of the system as its peers know it.
+
+    Parameters
+    ----------
+    name : str
+        Unique name of the instance.
+    zone : str
+        Availability zone.
+    address : str
+        IPv4 address of both processes.
+    packet_port : int
+        UDP port of the packet process for the fabric and other instances.
+    control_port : int
+        UDP port of the control process.
+    incarnation : int
+        Grows with each start of the instance and with each refutation.
+    status : {'alive', 'leaving'}
+        ``leaving`` members relay segments but are no homes.
+    """
+
+    name: str
+    zone: str
+    address: str
+    packet_port: int
+    control_port: int
+    incarnation: int = 0
+    status: Literal['alive', 'leaving'] = 'alive'
+
+
+class RoutingSnapshot(msgspec.Struct, frozen=True):
+    """State that the packet process needs for its decisions.
+
+    Parameters
+    ----------
+    generation : int
+        Generation of the configuration.
+    configuration : Configuration
+        The configuration of that generation.
+    members : tuple of Member
+        Members that are alive or leaving, the instance itself included.
+    zone_sight_s : dict of str to float
+        Seconds since the control process last heard from each zone.
+    provisional : bool
+        True until the store or a peer that has read it confirms the
+        generation.
+    """
+
+    generation: int
+    configuration: Configuration
+    members: tuple[Member, ...]
+    zone_sight_s: dict[str, float] = {}
+    provisional: bool = False
--- /dev/null
+++ b/siskinproxy/callers/__init__.py
@@ -0,0 +1,3 @@
+"""Interfaces towards callers."""
+
+__all__ = ()
--- /dev/null
+++ b/siskinproxy/fabric/__init__.py
@@ -0,0 +1,3 @@
+"""Interface towards the fabric."""
+
+__all__ = ()
--- /dev/null
+++ b/siskinproxy/instances/__init__.py
@@ -0,0 +1,3 @@
+"""Interfaces towards other instances."""
+
+__all__ = ()
--- /dev/null
+++ b/siskinproxy/measure/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements of the decisions and of the packet path."""
+
+__all__ = ()
--- /dev/null
+++ b/siskinproxy/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins for the peers of the system, for tests and the demo."""
+
+__all__ = ()
--- /dev/null
+++ b/siskinproxy/store/__init__.py
@@ -0,0 +1,3 @@
+"""Interface towards the key-value store of the platform."""
+
+__all__ = ()
--- /dev/null
+++ b/siskinproxy/targets/__init__.py
@@ -0,0 +1,3 @@
+"""Interfaces towards backend servers."""
+
+__all__ = ()
