--- /dev/null
+++ b/siskinproxy/fabric/segments.py
@@ -0,0 +1,298 @@
+"""IPv4 packets with one TCP segment: layout, address translation, checksums.
+
+One UDP datagram of the fabric holds one IPv4 packet without options. The
+functions work at fixed offsets, since they run once for each packet.
+
+References
+----------
+RFC 791 (IPv4), RFC 9293 (TCP), RFC 1624 (incremental checksum update).
+"""
+
+import socket
+import struct
+from typing import Final, NamedTuple
+
+from siskinproxy.errors import SegmentFormatError
+
+__all__ = (
+    'ACK',
+    'FIN',
+    'FLAGS_OFFSET',
+    'FLOW_KEY',
+    'MIN_SEGMENT_BYTES',
+    'PSH',
+    'RST',
+    'SYN',
+    'Endpoint',
+    'Segment',
+    'build_reset',
+    'build_segment',
+    'has_valid_checksums',
+    'has_payload',
+    'is_ipv4_tcp',
+    'pack_endpoint',
+    'parse_segment',
+    'rewrite_destination',
+    'rewrite_source',
+    'unpack_endpoint',
+)
+
+FIN: Final = 1
+SYN: Final = 2
+RST: Final = 4
+PSH: Final = 8
+ACK: Final = 16
+
+#: Source address, destination address, source port, destination port.
+FLOW_KEY: Final = slice(12, 24)
+FLAGS_OFFSET: Final = 33
+MIN_SEGMENT_BYTES: Final = 40
+
+_IP_BYTES: Final = 20
+_VERSION_AND_LENGTH: Final = 0x45
+_PROTOCOL_OFFSET: Final = 9
+_PROTOCOL_TCP: Final = 6
+_TIME_TO_LIVE: Final = 64
+_WINDOW_BYTES: Final = 65535
+_MASK_16: Final = 0xFFFF
+_MASK_32: Final = 0xFFFFFFFF
+
+_IP = struct.Struct('!BBHHHBBH4s4s')
+_TCP = struct.Struct('!HHIIBBHHH')
+_WORDS_OF_ENDPOINT = struct.Struct('!HHH')
+_WORD = struct.Struct('!H')
+
+
+class Endpoint(NamedTuple):
+    """IPv4 address (dotted) and port."""
+
+    address: str
+    port: int
+
+
+class Segment(NamedTuple):
+    """Parsed TCP segment with its endpoints."""
+
+    source: Endpoint
+    destination: Endpoint
+    flags: int
+    sequence: int
+    acknowledgment: int
+    payload: bytes
+
+
+def pack_endpoint(endpoint: Endpoint) -> bytes:
+    """Return the 6 bytes of an address and port in network order."""
+    return socket.inet_aton(endpoint[0]) + _WORD.pack(endpoint[1])
+
+
+def unpack_endpoint(packed: bytes) -> Endpoint:
+    """Return the endpoint of 6 bytes in network order."""
+    return Endpoint(socket.inet_ntoa(packed[:4]), _WORD.unpack(packed[4:])[0])
+
+
+def is_ipv4_tcp(datagram: bytes) -> bool:
+    """Tell whether a datagram can be handled as a segment."""
+    return (
+        len(datagram) >= MIN_SEGMENT_BYTES
+        and datagram[0] == _VERSION_AND_LENGTH
+        and datagram[_PROTOCOL_OFFSET] == _PROTOCOL_TCP
+    )
+
+
+def _internet_sum(octets: bytes) -> int:
+    if len(octets) % 2:
+        octets += b'\0'
+    total = sum(struct.unpack(f'!{len(octets) // 2}H', octets))
+    while total > _MASK_16:
+        total = (total & _MASK_16) + (total >> 16)
+    return total
+
+
+def _tcp_checksum(source: bytes, destination: bytes, tcp: bytes) -> int:
+    pseudo = source + destination + struct.pack('!HH', _PROTOCOL_TCP, len(tcp))
+    return ~_internet_sum(pseudo + tcp) & _MASK_16
+
+
+def build_segment(  # noqa: WPS211
+    source: Endpoint,
+    destination: Endpoint,
+    flags: int,
+    sequence: int = 0,
+    acknowledgment: int = 0,
+    payload: bytes = b'',
+) -> bytes:
+    """Return an IPv4 packet with one TCP segment.
+
+    Parameters
+    ----------
+    source, destination : Endpoint
+        Addresses and ports.
+    flags : int
+        TCP flags, such as ``SYN | ACK``.
+    sequence, acknowledgment : int
+        Sequence numbers, taken modulo 2**32.
+    payload : bytes
+        Data of the segment.
+
+    Returns
+    -------
+    bytes
+        The packet with valid checksums.
+    """
+    source_bytes = socket.inet_aton(source[0])
+    destination_bytes = socket.inet_aton(destination[0])
+    tcp = _TCP.pack(
+        source[1],
+        destination[1],
+        sequence & _MASK_32,
+        acknowledgment & _MASK_32,
+        (_IP_BYTES // 4) << 4,
+        flags,
+        _WINDOW_BYTES,
+        0,
+        0,
+    )
+    checksum = _tcp_checksum(source_bytes, destination_bytes, tcp + payload)
+    tcp = tcp[:16] + _WORD.pack(checksum) + tcp[18:] + payload
+    fields = (
+        _VERSION_AND_LENGTH,
+        0,
+        _IP_BYTES + len(tcp),
+        0,
+        0,
+        _TIME_TO_LIVE,
+        _PROTOCOL_TCP,
+    )
+    addresses = (source_bytes, destination_bytes)
+    header = _IP.pack(*fields, 0, *addresses)
+    header_checksum = ~_internet_sum(header) & _MASK_16
+    return _IP.pack(*fields, header_checksum, *addresses) + tcp
+
+
+def parse_segment(datagram: bytes) -> Segment:
+    """Return the fields of a segment.
+
+    Parameters
+    ----------
+    datagram : bytes
+        IPv4 packet.
+
+    Returns
+    -------
+    Segment
+        Endpoints, flags, sequence numbers and payload.
+
+    Raises
+    ------
+    SegmentFormatError
+        If the datagram is no IPv4 packet with a TCP segment.
+    """
+    if not is_ipv4_tcp(datagram):
+        raise SegmentFormatError(f'length={len(datagram)}')
+    tcp = _TCP.unpack_from(datagram, _IP_BYTES)
+    payload_offset = _IP_BYTES + (tcp[4] >> 4) * 4
+    return Segment(
+        Endpoint(socket.inet_ntoa(datagram[12:16]), tcp[0]),
+        Endpoint(socket.inet_ntoa(datagram[16:20]), tcp[1]),
+        tcp[5],
+        tcp[2],
+        tcp[3],
+        datagram[payload_offset:],
+    )
+
+
+def has_payload(datagram: bytes) -> bool:
+    """Tell whether a segment carries data."""
+    return len(datagram) > _IP_BYTES + (datagram[32] >> 4) * 4
+
+
+def has_valid_checksums(datagram: bytes) -> bool:
+    """Tell whether both the IPv4 and the TCP checksum are valid."""
+    header = datagram[:_IP_BYTES]
+    if _internet_sum(header) != _MASK_16:
+        return False
+    tcp = datagram[_IP_BYTES:]
+    return _tcp_checksum(datagram[12:16], datagram[16:20], tcp) == 0
+
+
+def _updated_checksum(checksum: int, removed: int, added: int) -> int:
+    # RFC 1624 equation 3: HC' = ~(~HC + ~m + m'), on 16-bit words.
+    total = (~checksum & _MASK_16) + added + 3 * _MASK_16 - removed
+    total = (total & _MASK_16) + (total >> 16)
+    return ~((total & _MASK_16) + (total >> 16)) & _MASK_16
+
+
+def _rewrite(
+    datagram: bytes,
+    address_offset: int,
+    port_offset: int,
+    endpoint: bytes,
+) -> bytes:
+    packet = bytearray(datagram)
+    old = (
+        packet[address_offset : address_offset + 4]
+        + packet[port_offset : port_offset + 2]
+    )
+    old_high, old_low, old_port = _WORDS_OF_ENDPOINT.unpack(old)
+    new_high, new_low, new_port = _WORDS_OF_ENDPOINT.unpack(endpoint)
+    removed = old_high + old_low
+    added = new_high + new_low
+    ip_checksum = (packet[10] << 8) | packet[11]
+    tcp_checksum = (packet[36] << 8) | packet[37]
+    _WORD.pack_into(packet, 10, _updated_checksum(ip_checksum, removed, added))
+    _WORD.pack_into(
+        packet,
+        36,
+        _updated_checksum(tcp_checksum, removed + old_port, added + new_port),
+    )
+    packet[address_offset : address_offset + 4] = endpoint[:4]
+    packet[port_offset : port_offset + 2] = endpoint[4:]
+    return bytes(packet)
+
+
+def rewrite_destination(datagram: bytes, endpoint: bytes) -> bytes:
+    """Return the packet with another destination.
+
+    Parameters
+    ----------
+    datagram : bytes
+        IPv4 packet.
+    endpoint : bytes
+        Address and port, 6 bytes as from `pack_endpoint`.
+
+    Returns
+    -------
+    bytes
+        The packet with updated checksums.
+    """
+    return _rewrite(datagram, 16, 22, endpoint)
+
+
+def rewrite_source(datagram: bytes, endpoint: bytes) -> bytes:
+    """Return the packet with another source; see `rewrite_destination`."""
+    return _rewrite(datagram, 12, 20, endpoint)
+
+
+def build_reset(datagram: bytes) -> bytes:
+    """Return the RST that refuses an opening segment.
+
+    Parameters
+    ----------
+    datagram : bytes
+        The packet with the SYN.
+
+    Returns
+    -------
+    bytes
+        Packet to its source with RST and ACK set, as RFC 9293 section
+        3.10.7.1 requires for a connection that does not exist.
+    """
+    syn = parse_segment(datagram)
+    return build_segment(
+        syn.destination,
+        syn.source,
+        RST | ACK,
+        0,
+        syn.sequence + 1 + len(syn.payload),
+    )
--- /dev/null
+++ b/siskinproxy/fabric/tests/test_segments.py
@@ -0,0 +1,53 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinproxy.errors import SegmentFormatError
+from siskinproxy.fabric import segments
+
+ENDPOINTS = st.builds(
+    segments.Endpoint,
+    st.ip_addresses(v=4).map(str),
+    st.integers(0, 65535),
+)
+
+
+@given(ENDPOINTS, ENDPOINTS, ENDPOINTS, st.binary(max_size=64))
+def test_translation_keeps_checksums_valid(source, destination, target, data):
+    """Guards against segments that a target's TCP stack would discard."""
+    packet = segments.build_segment(
+        source, destination, segments.ACK, 7, 9, data
+    )
+    assert segments.has_valid_checksums(packet)
+    there = segments.rewrite_destination(packet, segments.pack_endpoint(target))
+    assert segments.has_valid_checksums(there)
+    parsed = segments.parse_segment(there)
+    assert (parsed.source, parsed.destination) == (source, target)
+    assert parsed.payload == data
+    back = segments.rewrite_source(there, segments.pack_endpoint(destination))
+    assert segments.parse_segment(back).source == destination
+
+
+@pytest.mark.parametrize(
+    'datagram',
+    [b'', b'\x45' * 39, b'\x46' + bytes(60), b'\x45' + bytes(60)],
+    ids=['empty', 'short', 'options', 'not-tcp'],
+)
+def test_rejects_other_packets(datagram):
+    """Guards against reading ports at wrong offsets."""
+    with pytest.raises(SegmentFormatError):
+        segments.parse_segment(datagram)
+
+
+def test_reset_acknowledges_syn():
+    """Guards against a refusal that the caller's TCP stack ignores."""
+    syn = segments.build_segment(
+        segments.Endpoint('127.0.9.1', 4000),
+        segments.Endpoint('203.0.113.1', 80),
+        segments.SYN,
+        2**32 - 1,
+    )
+    reset = segments.parse_segment(segments.build_reset(syn))
+    assert reset.flags == segments.RST | segments.ACK
+    assert reset.acknowledgment == 0
+    assert reset.destination == segments.Endpoint('127.0.9.1', 4000)
