--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -9,6 +9,7 @@
     'SegmentFormatError',
     'SettingsError',
     'SiskinproxyError',
+    'StandinCommandError',
     'StoreConflictError',
     'StoreError',
     'StoreOutcomeUnknownError',
@@ -106,3 +107,11 @@
 
 class LeaseLostError(StoreError):
     """The lease expired or was revoked."""
+
+
+class StandinCommandError(SiskinproxyError):
+    """A stand-in refused or failed to run a command of its control port."""
+
+    def __init__(self, command: str, detail: str) -> None:
+        super().__init__(f'command={command} detail="{detail}"')
+        self.command = command
--- /dev/null
+++ b/siskinproxy/standins/caller_flow.py
@@ -0,0 +1,302 @@
+"""Flows of the caller stand-in, without sockets or clocks."""
+
+import enum
+import math
+from typing import Final
+
+import msgspec
+
+from siskinproxy.errors import SegmentFormatError
+from siskinproxy.fabric.segments import Endpoint, Segment, parse_segment
+from siskinproxy.standins.connection import Connection
+from siskinproxy.standins.messages import (
+    Answer,
+    Request,
+    decode_frames,
+    encode_frame,
+)
+from siskinproxy.standins.target_server import fill_body
+
+__all__ = ('Outcome', 'RequestFlow', 'StreamFlow')
+
+#: Time for the FIN of a finished request to be acknowledged.
+_LINGER_S: Final = 2.0
+
+
+class Outcome(enum.StrEnum):
+    """What a caller knows about a request or a long flow."""
+
+    ANSWERED = 'answered'
+    #: RST in response to the SYN: not executed.
+    REFUSED = 'refused'
+    #: RST or no answer after the handshake.
+    UNKNOWN = 'unknown'
+    #: No response to the SYN before the deadline.
+    TIMED_OUT = 'timed_out'
+    #: An answer that belongs to another request; a fault of the system.
+    MISMATCHED = 'mismatched'
+    #: A long flow that its caller closed.
+    CLOSED = 'closed'
+    #: A long flow that ended without its caller's wish.
+    BROKEN = 'broken'
+
+
+class _Flow:
+    """Connection of a caller; subclasses decide what it carries."""
+
+    def __init__(
+        self,
+        local: Endpoint,
+        service_endpoint: Endpoint,
+        request: Request,
+        initial_sequence: int,
+        deadline_s: float,
+    ) -> None:
+        self.request = request
+        self.outcome: Outcome | None = None
+        self.detail = ''
+        self.target = ''
+        self.opened_s = math.nan
+        self.ended_s = math.nan
+        self._deadline_s = deadline_s
+        self._limit_s = math.inf
+        self._connection = Connection(
+            local,
+            service_endpoint,
+            initial_sequence,
+        )
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the flow needs no more segments or timers."""
+        return self.outcome is not None and self._connection.is_closed
+
+    @property
+    def is_established(self) -> bool:
+        """Whether the handshake is complete."""
+        return self._connection.state == 'established'
+
+    def start(self, now_s: float) -> list[bytes]:
+        """Return the SYN."""
+        self.opened_s = now_s
+        self._limit_s = now_s + self._deadline_s
+        return self._connection.open(now_s)
+
+    def on_datagram(self, datagram: bytes, now_s: float) -> list[bytes]:
+        """Process a datagram from the fabric.
+
+        Parameters
+        ----------
+        datagram : bytes
+            IPv4 packet.
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        list of bytes
+            Packets for the fabric.
+        """
+        try:
+            segment = parse_segment(datagram)
+        except SegmentFormatError:
+            return []
+        if not self._belongs(segment):
+            return []
+        was_opening = self._connection.state == 'syn-sent'
+        packets = self._connection.on_segment(segment, now_s)
+        if self._connection.state == 'reset':
+            self._on_reset(was_opening, now_s)
+            return packets
+        if was_opening and self.is_established:
+            packets += self._on_established(now_s)
+        return packets + self._on_progress(now_s)
+
+    def on_timer(self, now_s: float) -> list[bytes]:
+        """Return the packets that are due; also applies the deadline."""
+        if now_s < self._limit_s:
+            return self._connection.on_timer(now_s)
+        self._limit_s = math.inf
+        if self.outcome is None:
+            outcome = Outcome.TIMED_OUT
+            if self.is_established:
+                outcome = self._lost_outcome()
+            self._end(outcome, 'deadline', now_s)
+        return self._connection.abort()
+
+    def next_timer_s(self) -> float:
+        """Return when `on_timer` has to run next; infinite if never."""
+        if self.is_finished:
+            return math.inf
+        return min(self._limit_s, self._connection.timer_s)
+
+    def _belongs(self, segment: Segment) -> bool:
+        connection = self._connection
+        return (segment.source, segment.destination) == (
+            connection.remote,
+            connection.local,
+        )
+
+    def _on_reset(self, was_opening: bool, now_s: float) -> None:
+        if self.outcome is not None:
+            return
+        outcome = Outcome.REFUSED if was_opening else self._lost_outcome()
+        self._end(outcome, 'reset', now_s)
+
+    def _end(self, outcome: Outcome, detail: str, now_s: float) -> None:
+        self.outcome = outcome
+        self.detail = detail
+        self.ended_s = now_s
+
+    def _lost_outcome(self) -> Outcome:
+        raise NotImplementedError
+
+    def _on_established(self, now_s: float) -> list[bytes]:
+        raise NotImplementedError
+
+    def _on_progress(self, now_s: float) -> list[bytes]:
+        raise NotImplementedError
+
+    def _take_answers(self) -> list[Answer] | None:
+        try:
+            return decode_frames(self._connection.received, Answer)
+        except msgspec.DecodeError:
+            return None
+
+    def _is_own(self, answer: Answer, chunk: int) -> bool:
+        request = self.request
+        body = fill_body(request.id, chunk, request.size_bytes)
+        return (answer.id, answer.service, answer.chunk, answer.body) == (
+            request.id,
+            request.service,
+            chunk,
+            body,
+        )
+
+
+class RequestFlow(_Flow):
+    """Connection that carries one request.
+
+    Parameters
+    ----------
+    local : Endpoint
+        Address and port of the caller.
+    service_endpoint : Endpoint
+        Address and port of the listener.
+    request : Request
+        What to ask for.
+    initial_sequence : int
+        Own initial sequence number.
+    deadline_s : float
+        Time from the first SYN to the complete answer, in seconds.
+
+    Attributes
+    ----------
+    outcome : Outcome or None
+        None while the request is in progress.
+    detail : str
+        What decided the outcome.
+    target : str
+        Target that answered.
+    """
+
+    def _lost_outcome(self) -> Outcome:
+        return Outcome.UNKNOWN
+
+    def _on_established(self, now_s: float) -> list[bytes]:
+        return self._connection.send(encode_frame(self.request), now_s)
+
+    def _on_progress(self, now_s: float) -> list[bytes]:
+        if not self._connection.remote_closed or self.outcome is not None:
+            return []
+        answers = self._take_answers()
+        if answers is None or self._connection.received:
+            self._end(Outcome.MISMATCHED, 'incomplete', now_s)
+        elif answers:
+            self._judge(answers, now_s)
+        else:
+            self._end(Outcome.UNKNOWN, 'closed', now_s)
+        self._limit_s = now_s + _LINGER_S
+        return self._connection.close(now_s)
+
+    def _judge(self, answers: list[Answer], now_s: float) -> None:
+        self.target = answers[0].target
+        outcome = Outcome.MISMATCHED
+        if len(answers) == 1 and self._is_own(answers[0], self.request.chunk):
+            outcome = Outcome.ANSWERED
+        self._end(outcome, 'answer', now_s)
+
+
+class StreamFlow(_Flow):
+    """Long flow that asks for one chunk after the other.
+
+    Parameters are those of `RequestFlow`; ``deadline_s`` applies to the
+    handshake and to each chunk.
+
+    Attributes
+    ----------
+    chunks : int
+        Chunks received.
+    outcome : Outcome or None
+        None while the flow is open.
+    """
+
+    def __init__(  # noqa: WPS612
+        self,
+        local: Endpoint,
+        service_endpoint: Endpoint,
+        request: Request,
+        initial_sequence: int,
+        deadline_s: float,
+    ) -> None:
+        super().__init__(
+            local,
+            service_endpoint,
+            request,
+            initial_sequence,
+            deadline_s,
+        )
+        self.chunks = 0
+        self.is_asking = False
+
+    def ask(self, now_s: float) -> list[bytes]:
+        """Ask for the next chunk and return the packets to send."""
+        if self.is_asking or self.outcome or not self.is_established:
+            return []
+        self.is_asking = True
+        self._limit_s = now_s + self._deadline_s
+        request = msgspec.structs.replace(self.request, chunk=self.chunks)
+        return self._connection.send(encode_frame(request), now_s)
+
+    def finish(self, now_s: float) -> list[bytes]:
+        """Close the flow from the caller's side."""
+        if self.outcome is not None:
+            return []
+        self._end(Outcome.CLOSED, 'caller', now_s)
+        self._limit_s = now_s + _LINGER_S
+        if not self.is_established:
+            return self._connection.abort()
+        return self._connection.close(now_s)
+
+    def _lost_outcome(self) -> Outcome:
+        return Outcome.BROKEN
+
+    def _on_established(self, now_s: float) -> list[bytes]:
+        self._limit_s = math.inf
+        return []
+
+    def _on_progress(self, now_s: float) -> list[bytes]:
+        if self.outcome is not None:
+            return []
+        for answer in self._take_answers() or ():
+            self.target = answer.target
+            if not self._is_own(answer, self.chunks):
+                self._end(Outcome.MISMATCHED, 'chunk', now_s)
+                return self._connection.abort()
+            self.chunks += 1
+            self.is_asking = False
+            self._limit_s = math.inf
+        if self._connection.remote_closed:
+            self._end(Outcome.BROKEN, 'closed', now_s)
+            return self._connection.abort()
+        return []
