--- /dev/null
+++ b/siskinproxy/balancer/closing.py
@@ -0,0 +1,182 @@
+"""State changes of established flows at their homes."""
+
+from collections import deque
+from typing import Final, Protocol
+
+from siskinproxy.balancer.engine_state import EngineState
+from siskinproxy.balancer.routes import Route
+from siskinproxy.callers.flow_state import has_released_slot, next_state
+from siskinproxy.callers.flow_table import Binding, FlowState
+from siskinproxy.fabric.segments import (
+    FLAGS_OFFSET,
+    FLOW_KEY,
+    MIN_SEGMENT_BYTES,
+    SYN,
+)
+from siskinproxy.instances.tunnel import Kind, TunnelHeader
+
+__all__ = ('FlowCloser', 'FlowObserver')
+
+#: Time for which a closed flow still routes acknowledgments and repeats.
+LINGER_S: Final = 2.0
+
+
+class FlowObserver(Protocol):
+    """Part of the engine that decides for new flows."""
+
+    def flow_accepted(self, key: bytes, route: Route, now_s: float) -> None:
+        """Record that the target accepted the connection."""
+
+    def flow_released(
+        self, key: bytes, route: Route, reset: bool, now_s: float
+    ) -> None:
+        """Record that the flow uses its target no more."""
+
+    def flow_cancelled(self, key: bytes, service: str, now_s: float) -> None:
+        """Record that the caller gave up a flow without a target."""
+
+
+class FlowCloser:
+    """Follows SYN, FIN and RST of flows and removes closed entries.
+
+    Parameters
+    ----------
+    state : EngineState
+        Tables and views.
+    observer : FlowObserver
+        Is told of accepted and released flows.
+    """
+
+    __slots__ = ('_linger', '_observer', '_state')
+
+    def __init__(self, state: EngineState, observer: FlowObserver) -> None:
+        self._state = state
+        self._observer = observer
+        self._linger: deque[tuple[float, bytes]] = deque()
+
+    def publish(
+        self, service: str, key: bytes, segment: bytes, now_s: float
+    ) -> None:
+        """Tell the homes of a flow about a segment that changes its state.
+
+        Only the header is sent, and on the packet path, so the change costs
+        no control traffic.
+        """
+        notice = segment[:MIN_SEGMENT_BYTES]
+        self._pass_on(service, key, notice, 0, now_s)
+
+    def on_notice(
+        self, header: TunnelHeader, notice: bytes, now_s: float
+    ) -> None:
+        """Handle a state change that another instance observed."""
+        state = self._state
+        route = state.routes.by_target.get(notice[12:16] + notice[20:22])
+        if route is not None:
+            service, key = route.listener.service, route.answer_key(notice)
+        else:
+            listener = state.routes.listeners.get(
+                notice[16:20] + notice[22:24],
+            )
+            if listener is None:
+                return
+            service, key = listener.service, notice[FLOW_KEY]
+        self._pass_on(service, key, notice, header.position, now_s)
+
+    def observe(
+        self, service: str, key: bytes, segment: bytes, now_s: float
+    ) -> None:
+        """Apply a segment with SYN, FIN or RST to the entry of its flow."""
+        state = self._state
+        source = segment[12:16] + segment[20:22]
+        binding = state.home_binding(key)
+        if binding is None:
+            if source not in state.routes.by_target:
+                self._observer.flow_cancelled(key, service, now_s)
+            return
+        route = binding.route
+        is_from_target = source == route.endpoint
+        if not is_from_target and source in state.routes.by_target:
+            state.counters.crossed += 1
+            return
+        flags = segment[FLAGS_OFFSET]
+        if flags & SYN and is_from_target:
+            self._observer.flow_accepted(key, route, now_s)
+        self._change(key, binding, flags, is_from_target, now_s)
+
+    def close(self, key: bytes, now_s: float, *, reset: bool) -> None:
+        """Mark a flow as closed, for example after a refusal."""
+        binding = self._state.home_binding(key)
+        if binding is None:
+            return
+        self._enter(key, binding, FlowState.CLOSED, reset, now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Remove entries that were closed longer than `LINGER_S` ago."""
+        while self._linger and self._linger[0][0] <= now_s:
+            _, key = self._linger.popleft()
+            binding = self._state.home_binding(key)
+            if binding and binding.state is FlowState.CLOSED:
+                self._state.table_of(binding.route).pop(key)
+
+    def release_expired(
+        self, expired: dict[bytes, Binding], now_s: float
+    ) -> None:
+        """Release the targets of flows whose entries expired unused."""
+        for key, binding in expired.items():
+            if not has_released_slot(binding.state):
+                self._observer.flow_released(key, binding.route, True, now_s)
+
+    def _pass_on(
+        self,
+        service: str,
+        key: bytes,
+        notice: bytes,
+        position: int,
+        now_s: float,
+    ) -> None:
+        state = self._state
+        homes = state.homes(service, key)
+        if position < len(homes) and state.is_self(homes[position]):
+            position += 1
+            self.observe(service, key, notice, now_s)
+        elif position:
+            # The sender has another view; this instance may hold an entry.
+            self.observe(service, key, notice, now_s)
+        is_for_owner_only = notice[FLAGS_OFFSET] & SYN and position
+        if position < len(homes) and not is_for_owner_only:
+            state.send(homes[position], Kind.NOTICE, notice, position=position)
+
+    def _change(
+        self,
+        key: bytes,
+        binding: Binding,
+        flags: int,
+        is_from_target: bool,
+        now_s: float,
+    ) -> None:
+        following = next_state(binding.state, flags, is_from_target)
+        if following is not binding.state:
+            self._enter(key, binding, following, False, now_s)
+
+    def _enter(
+        self,
+        key: bytes,
+        binding: Binding,
+        following: FlowState,
+        reset: bool,
+        now_s: float,
+    ) -> None:
+        route = binding.route
+        self._state.store(key, route, following)
+        was_released = has_released_slot(binding.state)
+        if has_released_slot(following) and not was_released:
+            if route.listener.listener.mode == 'request':
+                self._observer.flow_released(key, route, reset, now_s)
+        if following is not FlowState.CLOSED:
+            return
+        if binding.state is FlowState.CLOSED:
+            return
+        self._state.counters.closed += 1
+        self._linger.append((now_s + LINGER_S, key))
+        if route.listener.listener.mode == 'stream':
+            self._observer.flow_released(key, route, reset, now_s)
--- /dev/null
+++ b/siskinproxy/balancer/counters.py
@@ -0,0 +1,54 @@
+"""Counters of the packet process."""
+
+import msgspec
+
+__all__ = ('Counters',)
+
+
+class Counters(msgspec.Struct):
+    """Numbers of events since the start of the packet process.
+
+    Attributes
+    ----------
+    forwarded, answered : int
+        Segments sent to targets and to callers.
+    relayed : int
+        Segments that took a second hop because the flow was not known here.
+    opened, refused, retried, queued : int
+        Decisions for new flows at this owner.
+    closed : int
+        Flows that this home saw ending.
+    crossed : int
+        Answers dropped because another target serves the flow.
+    copied, adopted : int
+        Flow entries sent to and received from other homes.
+    unknown_flow, unknown_service, malformed, syn_with_data : int
+        Segments dropped for the reason in the name.
+    revoked, unreachable : int
+        Segments not sent because the target is no longer allowed or the
+        zone reachability rule forbids its zone.
+    violations : int
+        Invariant violations.
+    tunnel_datagrams : int
+        Datagrams sent to other instances.
+    """
+
+    forwarded: int = 0
+    answered: int = 0
+    relayed: int = 0
+    opened: int = 0
+    refused: int = 0
+    retried: int = 0
+    queued: int = 0
+    closed: int = 0
+    crossed: int = 0
+    copied: int = 0
+    adopted: int = 0
+    unknown_flow: int = 0
+    unknown_service: int = 0
+    malformed: int = 0
+    syn_with_data: int = 0
+    revoked: int = 0
+    unreachable: int = 0
+    violations: int = 0
+    tunnel_datagrams: int = 0
--- /dev/null
+++ b/siskinproxy/balancer/engine_state.py
@@ -0,0 +1,150 @@
+"""State that the parts of the packet engine share."""
+
+import random
+from typing import Final, Protocol
+
+from siskinproxy.balancer.counters import Counters
+from siskinproxy.balancer.routes import Route, RouteTable
+from siskinproxy.balancer.settings import Limits
+from siskinproxy.balancer.snapshot import Member
+from siskinproxy.balancer.zone_contact import ZoneContact
+from siskinproxy.callers.flow_table import Binding, FlowState, RotatingTable
+from siskinproxy.instances.placement import ShardKey, ViewHistory
+from siskinproxy.instances.tunnel import (
+    NO_TARGET,
+    Kind,
+    TunnelHeader,
+    encode,
+    member_id,
+)
+
+__all__ = ('REQUEST_LIFETIME_S', 'EngineState', 'Outbox')
+
+#: A request flow without a segment for this time is forgotten by its homes.
+REQUEST_LIFETIME_S: Final = 120.0
+
+
+class Outbox(Protocol):
+    """Where the engine sends datagrams."""
+
+    def to_target(self, address: tuple[str, int], segment: bytes) -> None:
+        """Send a segment to a target."""
+
+    def to_caller(self, segment: bytes) -> None:
+        """Send a segment to a caller by way of the fabric."""
+
+    def to_instance(self, member: Member, datagram: bytes) -> None:
+        """Send a tunnel datagram to another instance."""
+
+
+class EngineState:
+    """Tables and views of one packet process.
+
+    Parameters
+    ----------
+    identity : Member
+        The instance itself.
+    outbox : Outbox
+        Where datagrams are sent.
+    limits : Limits
+        Bounds and times from the settings.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    __slots__ = (
+        'counters',
+        'generation',
+        'identity',
+        'learned',
+        'limits',
+        'outbox',
+        'own_id',
+        'peers',
+        'zone_contact',
+        'requests',
+        'rng',
+        'routes',
+        'streams',
+        'views',
+        'zones',
+    )
+
+    def __init__(
+        self,
+        identity: Member,
+        outbox: Outbox,
+        limits: Limits,
+        rng: random.Random,
+    ) -> None:
+        self.identity = identity
+        self.own_id = member_id(identity.name)
+        self.outbox = outbox
+        self.limits = limits
+        self.rng = rng
+        self.counters = Counters()
+        self.generation = 0
+        self.routes = RouteTable()
+        self.zones: tuple[str, ...] = ()
+        self.peers: dict[int, Member] = {}
+        self.views = ViewHistory(limits.view_retention_s)
+        self.zone_contact = ZoneContact(identity.zone, limits.sight_s)
+        self.streams = RotatingTable(limits.flow_idle_s)
+        self.requests = RotatingTable(REQUEST_LIFETIME_S)
+        # An entry lives for one to two lifetimes after the last answer.
+        self.learned = RotatingTable(
+            limits.learned_s / 2,
+            limits.learned_flows,
+        )
+
+    def home_binding(self, key: bytes) -> Binding | None:
+        """Return the binding of a flow of which this instance is a home."""
+        return self.requests.renew(key) or self.streams.renew(key)
+
+    def binding(self, key: bytes) -> Binding | None:
+        """Return the binding of a flow from any table."""
+        return self.home_binding(key) or self.learned.get(key)
+
+    def table_of(self, route: Route) -> RotatingTable:
+        """Return the home table for flows of a route's listener."""
+        if route.listener.listener.mode == 'request':
+            return self.requests
+        return self.streams
+
+    def store(self, key: bytes, route: Route, state: FlowState) -> None:
+        """Store or replace the home entry of a flow."""
+        self.table_of(route).put(key, route.bindings[state])
+
+    def shard(self, service: str, key: bytes) -> ShardKey:
+        """Return the shard of a flow under the current view."""
+        return self.views.current.shard_of(service, key)
+
+    def homes(self, service: str, key: bytes) -> tuple[Member, ...]:
+        """Return the homes of a flow under the current view."""
+        view = self.views.current
+        return view.homes(view.shard_of(service, key))
+
+    def is_self(self, member: Member) -> bool:
+        """Tell whether a member is this instance."""
+        return member.name == self.identity.name
+
+    def send(
+        self,
+        member: Member,
+        kind: Kind,
+        body: bytes = b'',
+        target: bytes = NO_TARGET,
+        position: int = 0,
+        flags: int = 0,
+    ) -> None:
+        """Send a tunnel datagram to another instance."""
+        header = TunnelHeader(
+            kind,
+            flags,
+            position,
+            self.generation,
+            self.own_id,
+            target,
+        )
+        self.counters.tunnel_datagrams += 1
+        self.outbox.to_instance(member, encode(header, body))
--- /dev/null
+++ b/siskinproxy/balancer/flow_copy.py
@@ -0,0 +1,193 @@
+"""Copies of flow entries for homes that a change of view has added."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import Final
+
+from siskinproxy.balancer.engine_state import EngineState
+from siskinproxy.balancer.opening import FlowOpener
+from siskinproxy.balancer.snapshot import Member
+from siskinproxy.callers.flow_table import Binding, FlowState
+from siskinproxy.instances.placement import ShardKey, View
+from siskinproxy.instances.tunnel import (
+    COPY_ENTRY_BYTES,
+    CopyEntry,
+    Kind,
+    decode_entries,
+    encode_entries,
+    member_id,
+)
+
+__all__ = ('FlowCopier',)
+
+#: Entries of one datagram; 50 entries stay below the usual 1,500 byte MTU.
+ENTRIES_PER_DATAGRAM: Final = 50
+
+#: Entries inspected in one call, which bounds the pause of the packet loop.
+ENTRIES_PER_STEP: Final = 2000
+
+
+class FlowCopier:
+    """Sends the entries of shards with new homes to these homes.
+
+    One surviving home of the earlier view copies each shard. The rate is
+    bounded, since 300,000 entries at once would exceed the bandwidth that a
+    node has for control.
+
+    Parameters
+    ----------
+    state : EngineState
+        Tables and views.
+    opener : FlowOpener
+        Is told of entries that arrive for shards that this instance owns.
+    """
+
+    __slots__ = (
+        '_allowance_bytes',
+        '_batches',
+        '_opener',
+        '_pass',
+        '_passing',
+        '_pending',
+        '_state',
+        '_stepped_s',
+    )
+
+    def __init__(self, state: EngineState, opener: FlowOpener) -> None:
+        self._state = state
+        self._opener = opener
+        self._pending: dict[ShardKey, set[str]] = {}
+        self._passing: dict[ShardKey, set[str]] = {}
+        self._pass: Iterator[tuple[bytes, Binding]] | None = None
+        self._batches: dict[str, list[CopyEntry]] = defaultdict(list)
+        self._allowance_bytes = 0.0
+        self._stepped_s: float | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether all entries have been copied."""
+        return not self._pending and self._pass is None
+
+    def plan(self, earlier: View, current: View) -> None:
+        """Note which shards have to be copied to which homes."""
+        for shard in current.shards():
+            missing = self._missing_homes(earlier, current, shard)
+            if missing:
+                self._pending.setdefault(shard, set()).update(missing)
+
+    def step(self, now_s: float) -> None:
+        """Copy a bounded number of entries."""
+        self._refill(now_s)
+        if self._pass is None:
+            self._start_pass()
+        if self._pass is None:
+            return
+        for _ in range(ENTRIES_PER_STEP):
+            if self._allowance_bytes <= 0:
+                break
+            item = next(self._pass, None)
+            if item is None:
+                self._pass = None
+                break
+            self._copy_entry(*item)
+        self._flush()
+
+    def send_entry(self, member: Member, key: bytes, binding: Binding) -> None:
+        """Copy one entry to a home that asked for its flow."""
+        entry = CopyEntry(key, binding.route.endpoint, int(binding.state))
+        self._state.counters.copied += 1
+        self._state.send(member, Kind.COPY, encode_entries([entry]))
+
+    def on_copy(self, body: bytes, now_s: float) -> None:
+        """Record entries that another home has sent."""
+        for entry in decode_entries(body):
+            self._adopt(entry, now_s)
+
+    def _missing_homes(
+        self, earlier: View, current: View, shard: ShardKey
+    ) -> set[str]:
+        if shard.service not in earlier.shard_counts:
+            return set()
+        before = earlier.homes(shard)
+        same_count = (
+            earlier.shard_counts[shard.service]
+            == current.shard_counts[shard.service]
+        )
+        if same_count and not self._is_copier(before):
+            return set()
+        known = {home.name for home in before} if same_count else set()
+        known.add(self._state.identity.name)
+        homes = current.homes(shard)
+        return {home.name for home in homes if home.name not in known}
+
+    def _is_copier(self, homes: tuple[Member, ...]) -> bool:
+        state = self._state
+        for home in homes:
+            if state.is_self(home):
+                return True
+            if member_id(home.name) in state.peers:
+                return False
+        return False
+
+    def _refill(self, now_s: float) -> None:
+        rate = self._state.limits.copy_bytes_per_s
+        if self._stepped_s is not None:
+            elapsed_s = now_s - self._stepped_s
+            self._allowance_bytes += elapsed_s * rate
+        self._allowance_bytes = min(self._allowance_bytes, rate)
+        self._stepped_s = now_s
+
+    def _start_pass(self) -> None:
+        if not self._pending:
+            return
+        self._passing = self._pending
+        self._pending = {}
+        self._pass = self._entries()
+
+    def _entries(self) -> Iterator[tuple[bytes, Binding]]:
+        yield from self._state.requests
+        yield from self._state.streams
+
+    def _copy_entry(self, key: bytes, binding: Binding) -> None:
+        if binding.state is FlowState.CLOSED:
+            return
+        shard = self._state.shard(binding.route.listener.service, key)
+        names = self._passing.get(shard)
+        if not names:
+            return
+        entry = CopyEntry(key, binding.route.endpoint, int(binding.state))
+        for name in sorted(names):
+            self._batches[name].append(entry)
+            self._allowance_bytes -= COPY_ENTRY_BYTES
+            if len(self._batches[name]) >= ENTRIES_PER_DATAGRAM:
+                self._send_batch(name)
+
+    def _flush(self) -> None:
+        for name in sorted(self._batches):
+            self._send_batch(name)
+
+    def _send_batch(self, name: str) -> None:
+        entries = self._batches.pop(name)
+        member = self._state.peers.get(member_id(name))
+        if member is None:
+            return
+        self._state.counters.copied += len(entries)
+        self._state.send(member, Kind.COPY, encode_entries(entries))
+
+    def _adopt(self, entry: CopyEntry, now_s: float) -> None:
+        state = self._state
+        if state.home_binding(entry.flow_key) is not None:
+            return
+        route = state.routes.by_target.get(entry.target)
+        if (
+            route is None
+            or _listener_endpoint(entry) != route.listener.endpoint
+        ):
+            return
+        state.store(entry.flow_key, route, FlowState(entry.state))
+        state.counters.adopted += 1
+        self._opener.restore(entry.flow_key, route, now_s)
+
+
+def _listener_endpoint(entry: CopyEntry) -> bytes:
+    return entry.flow_key[4:8] + entry.flow_key[10:12]
--- a/siskinproxy/fabric/segments.py
+++ b/siskinproxy/fabric/segments.py
@@ -25,7 +25,10 @@
     'SYN',
     'Endpoint',
     'Segment',
+    'answers_syn',
+    'build_abort',
     'build_reset',
+    'sequence_of',
     'build_segment',
     'has_valid_checksums',
     'has_payload',
@@ -296,3 +299,53 @@
         0,
         syn.sequence + 1 + len(syn.payload),
     )
+
+
+def build_abort(datagram: bytes) -> bytes:
+    """Return the RST that ends an established connection.
+
+    Parameters
+    ----------
+    datagram : bytes
+        A segment of the connection that carries an acknowledgment.
+
+    Returns
+    -------
+    bytes
+        Packet to the segment's source; its sequence number is the one that
+        the source expects next, as RFC 9293 section 3.10.7.1 requires.
+    """
+    segment = parse_segment(datagram)
+    return build_segment(
+        segment.destination,
+        segment.source,
+        RST,
+        segment.acknowledgment,
+    )
+
+
+def sequence_of(datagram: bytes) -> int:
+    """Return the sequence number of a segment."""
+    return int.from_bytes(datagram[24:28], 'big')
+
+
+def answers_syn(reset: bytes, syn_sequence: int) -> bool:
+    """Tell whether an RST refuses the connection that a SYN asked for.
+
+    Parameters
+    ----------
+    reset : bytes
+        Segment with RST set.
+    syn_sequence : int
+        Sequence number of the SYN.
+
+    Returns
+    -------
+    bool
+        True if sequence and acknowledgment numbers are those that RFC 9293
+        section 3.10.7.1 requires of a reset in the CLOSED state. A reset of
+        an established connection carries another sequence number.
+    """
+    expected = (syn_sequence + 1) & _MASK_32
+    acknowledged = int.from_bytes(reset[28:32], 'big')
+    return sequence_of(reset) == 0 and acknowledged == expected
