--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 SEED ?= 1
+PROTOS := $(wildcard siskinproxy/*/proto/*.proto)
 
 .PHONY: setup test lint format unit demo measure bench capacity proto clean
 
@@ -39,5 +40,9 @@
 capacity: setup
 	$(BIN)/python -m siskinproxy.measure.capacity
 
+proto: setup
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I . \
+		--python_out=. --grpclib_python_out=. $(PROTOS)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -6,14 +6,19 @@
     'ConfigurationError',
     'InvariantViolation',
     'LeaseLostError',
+    'SectionDigestError',
     'SegmentFormatError',
     'SettingsError',
     'SiskinproxyError',
+    'StoreAccessError',
     'StoreConflictError',
+    'StoreDataError',
     'StoreError',
     'StoreOutcomeUnknownError',
     'StoreRateLimitError',
     'StoreUnavailableError',
+    'StoreValueSizeError',
+    'SubmissionReusedError',
     'TunnelFormatError',
 )
 
@@ -106,3 +111,81 @@
 
 class LeaseLostError(StoreError):
     """The lease expired or was revoked."""
+
+
+class StoreAccessError(StoreError):
+    """The store rejected the token of the call, which had no effect."""
+
+
+class StoreValueSizeError(StoreError):
+    """The value is larger than the store accepts; the call had no effect.
+
+    Parameters
+    ----------
+    key : str
+        Key of the write.
+    size_bytes : int
+        Size of the value.
+    limit_bytes : int
+        Largest size that the store accepts.
+    """
+
+    def __init__(self, key: str, size_bytes: int, limit_bytes: int) -> None:
+        super().__init__(f'key={key} size={size_bytes} limit={limit_bytes}')
+        self.key = key
+        self.size_bytes = size_bytes
+        self.limit_bytes = limit_bytes
+
+
+class StoreDataError(StoreError):
+    """A value of the store cannot be decoded, or an expected key is absent.
+
+    Parameters
+    ----------
+    key : str
+        Key of the value.
+    detail : str
+        What is wrong with the value.
+    """
+
+    def __init__(self, key: str, detail: str) -> None:
+        super().__init__(f'key={key} detail="{detail}"')
+        self.key = key
+        self.detail = detail
+
+
+class SectionDigestError(StoreError):
+    """A section of the configuration does not match the head's digest.
+
+    Parameters
+    ----------
+    index : int
+        Index of the section.
+    expected : str
+        Digest in the head, hexadecimal.
+    found : str
+        Digest of the content, hexadecimal; empty if the section is absent.
+    """
+
+    def __init__(self, index: int, expected: str, found: str) -> None:
+        super().__init__(f'section={index} expected={expected} found={found}')
+        self.index = index
+        self.expected = expected
+        self.found = found
+
+
+class SubmissionReusedError(ConfigurationError):
+    """A submission id was accepted before with another configuration.
+
+    Parameters
+    ----------
+    submission_id : str
+        Id of the submission.
+    generation : int
+        Generation that the id was accepted as.
+    """
+
+    def __init__(self, submission_id: str, generation: int) -> None:
+        super().__init__(f'submission={submission_id} generation={generation}')
+        self.submission_id = submission_id
+        self.generation = generation
--- /dev/null
+++ b/siskinproxy/standins/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the stand-ins' fault services."""
--- a/siskinproxy/store/__init__.py
+++ b/siskinproxy/store/__init__.py
@@ -1,3 +1,15 @@
 """Interface towards the key-value store of the platform."""
 
-__all__ = ()
+from siskinproxy.store.client import (
+    ABSENT,
+    GrpcKeyValueClient,
+    KeyValue,
+    KeyValueClient,
+)
+
+__all__ = (
+    'ABSENT',
+    'GrpcKeyValueClient',
+    'KeyValue',
+    'KeyValueClient',
+)
--- /dev/null
+++ b/siskinproxy/store/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the key-value service (see store.proto)."""
