Add admission of new flows by the owner of a shard

The owner selects the target with the lowest use relative to its limit, keeps slots, connections, warm-up ramp, retry budget and admission queue, and detects cold starts from refusals, resets and completion times only.

--- a/siskinproxy/callers/__init__.py
+++ b/siskinproxy/callers/__init__.py
@@ -1,3 +1,19 @@
 """Interfaces towards callers."""
 
-__all__ = ()
+from siskinproxy.callers.requests import (
+    Admitted,
+    AdmittedReason,
+    Queued,
+    QueuedReason,
+    Refused,
+    RefusedReason,
+)
+
+__all__ = (
+    'Admitted',
+    'AdmittedReason',
+    'Queued',
+    'QueuedReason',
+    'Refused',
+    'RefusedReason',
+)
--- /dev/null
+++ b/siskinproxy/targets/admission.py
@@ -0,0 +1,719 @@
+"""Decisions of a shard's owner about new flows."""
+
+import heapq
+import itertools
+import math
+import random
+import statistics
+from collections.abc import Iterable
+from typing import Final
+
+from siskinproxy.callers.admission_queue import AdmissionQueue, QueuedFlow
+from siskinproxy.callers.requests import (
+    Admitted,
+    AdmittedReason,
+    Queued,
+    QueuedReason,
+    Refused,
+    RefusedReason,
+)
+from siskinproxy.callers.retry_budget import RetryBudget
+from siskinproxy.errors import InvariantViolation
+from siskinproxy.operators.configuration import (
+    TARGETS_PER_SHARD,
+    Listener,
+    Service,
+    Target,
+)
+from siskinproxy.targets.evidence import ColdStartReason
+from siskinproxy.targets.limits import AdmissionLimits
+from siskinproxy.targets.selection import relative_busy_s, select_target
+from siskinproxy.targets.target_state import (
+    STALL_COLD_FACTOR,
+    FlowRecord,
+    Mode,
+    TargetReport,
+    TargetState,
+)
+
+__all__ = ('ShardAdmission',)
+
+#: Interval at which limits, warm-ups and stalls are evaluated.
+REFRESH_S: Final = 0.02
+#: A repeated opening segment after this time, just under the initial
+#: retransmission timeout of TCP (1 s, RFC 6298), shows that the target did
+#: not answer.
+UNANSWERED_S: Final = 0.9
+#: Slowdown relative to the peers above which a warm-up is held.
+HOLD_FACTOR: Final = 2.0
+_MS_PER_S: Final = 1000.0
+
+_Decision = Admitted | Refused
+
+
+class ShardAdmission:
+    """Admission of new flows to the targets of one shard.
+
+    The owner of the shard holds the only instance that decides, so limits
+    hold without coordination. Times are passed in and never decrease.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    index : int
+        Number of the shard within the service.
+    limits : AdmissionLimits
+        Settings.
+    rng : random.Random
+        Source of random choices.
+    now_s : float
+        Current time in seconds.
+    takeover : bool
+        Whether another instance may still act as owner, so that only half of
+        each limit is granted for ``limits.takeover_s``.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        index: int,
+        limits: AdmissionLimits,
+        rng: random.Random,
+        now_s: float,
+        takeover: bool,
+    ) -> None:
+        self.service = service
+        self.index = index
+        self._limits = limits
+        self._rng = rng
+        self._half_until_s = now_s + limits.takeover_s if takeover else now_s
+        self._running = False
+        self._service_names: frozenset[str] = frozenset()
+        self._states: dict[str, TargetState] = {}
+        self._flows: dict[bytes, FlowRecord] = {}
+        self._expiry: list[tuple[float, int, FlowRecord]] = []
+        self._sequence = itertools.count()
+        self._queue = AdmissionQueue()
+        self._decided: dict[bytes, _Decision] = {}
+        self._reachable_zones: frozenset[str] = frozenset()
+        self._budget = RetryBudget(limits.retry_share, limits.retry_floor_per_s)
+        self._refreshed_s = -math.inf
+        self._completion_s = limits.default_completion_s
+        self._mean_busy_s: dict[Mode, float] = {'request': 0, 'stream': 0}
+
+    def apply(
+        self,
+        service: Service,
+        targets: tuple[Target, ...],
+        zones_out: frozenset[str],
+        now_s: float,
+    ) -> None:
+        """Use a new configuration.
+
+        New targets and those that return to service start a warm-up, except
+        at the first call, when nothing shows that they are cold, and for
+        targets that another shard of the service had before.
+
+        Parameters
+        ----------
+        service : Service
+            The service as declared.
+        targets : tuple of Target
+            Targets of this shard.
+        zones_out : frozenset of str
+            Zones that are out of service. Flows to their targets are
+            abandoned; later calls for those flows must not be made.
+        now_s : float
+            Current time in seconds.
+        """
+        previous = self._states
+        self._states = {}
+        for target in targets:
+            known = previous.pop(target.name, None)
+            state = self._updated(known, target, zones_out, now_s)
+            self._states[target.name] = state
+        for name, state in previous.items():
+            # A removed target keeps its flows, like one that drains.
+            state.retired = True
+            if state.requests.count or state.streams.count:
+                self._states[name] = state
+        for state in self._states.values():
+            if state.target.zone in zones_out:
+                self._abandon(state, now_s)
+        shards = max(-(-len(service.targets) // TARGETS_PER_SHARD), 1)
+        self._budget.floor_per_s = -(-self._limits.retry_floor_per_s // shards)
+        self._service_names = frozenset(item.name for item in service.targets)
+        self._running = True
+        self._refresh(now_s)
+
+    def open(
+        self,
+        key: bytes,
+        listener: Listener,
+        ingress_zone: str,
+        reachable_zones: frozenset[str],
+        now_s: float,
+    ) -> Admitted | Queued | Refused:
+        """Decide about a new flow.
+
+        A repeated call for a flow that is admitted or queued returns the same
+        target or position.
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        listener : Listener
+            Listener with the request class.
+        ingress_zone : str
+            Zone of the instance that received the opening segment.
+        reachable_zones : frozenset of str
+            Zones whose targets this instance may send segments to.
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        Admitted or Queued or Refused
+            The decision; for a queued flow ``poll`` returns the final one.
+        """
+        self._reachable_zones = reachable_zones
+        self._refresh_if_due(now_s)
+        repeated = self._repeated(key, now_s)
+        if repeated is not None:
+            return repeated
+        self._dispatch(now_s)
+        deadline_at_s = now_s + listener.deadline_ms / _MS_PER_S
+        flow = QueuedFlow(key, listener, ingress_zone, now_s, deadline_at_s)
+        admitted = self._admit(flow, now_s)
+        if admitted is not None:
+            return admitted
+        refusal = self._refusal(
+            flow, self._queue.count_ahead(listener.priority), now_s
+        )
+        if refusal is not None:
+            return Refused(refusal)
+        self._queue.push(flow)
+        return Queued(self._queued_reason(listener.mode))
+
+    def restore(
+        self,
+        key: bytes,
+        listener: Listener,
+        target_name: str,
+        now_s: float,
+    ) -> None:
+        """Count a flow that another owner admitted.
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        listener : Listener
+            Listener with the request class.
+        target_name : str
+            Target of the flow.
+        now_s : float
+            Current time in seconds.
+        """
+        self._queue.remove(key)
+        known = self._flows.get(key)
+        if known is not None:
+            if known.state.target.name == target_name:
+                return
+            self._remove(known, now_s)
+        state = self._states.get(target_name)
+        if state is None or state.out_of_service:
+            return
+        if listener.mode == 'stream':
+            state.streams.change(1, now_s)
+            return
+        deadline_at_s = now_s + listener.deadline_ms / _MS_PER_S
+        record = FlowRecord(key, listener, state, now_s, deadline_at_s)
+        record.accepted = True
+        record.restored = True
+        self._add(record, now_s)
+
+    def accepted(self, key: bytes, now_s: float) -> None:
+        """Note that the target accepted the opening segment.
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        now_s : float
+            Current time in seconds.
+        """
+        record = self._flows.get(key)
+        if record is None:
+            return
+        record.accepted = True
+        record.state.evidence.note_accepted()
+        if record.listener.mode == 'stream':
+            self._flows.pop(key)
+
+    def target_refused(self, key: bytes, now_s: float) -> Admitted | Refused:
+        """Decide about a flow whose opening segment the target refused.
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        Admitted or Refused
+            Another target, or the reason why there is no retry.
+
+        Raises
+        ------
+        InvariantViolation
+            The target had accepted the flow, so a refusal would be false.
+        """
+        self._refresh_if_due(now_s)
+        record = self._flows.get(key)
+        if record is None:
+            return Refused(RefusedReason.CANCELLED)
+        if record.accepted:
+            detail = f'service={self.service} key={key.hex()}'
+            raise InvariantViolation('truthful_refusal', detail)
+        state = record.state
+        self._remove(record, now_s)
+        state.evidence.note_refused()
+        self._check_cold_start(state, now_s)
+        refused_by = record.refused_by | {state.target.name}
+        if now_s + self._completion_s > record.deadline_at_s:
+            return Refused(RefusedReason.RETRY_DEADLINE)
+        if not self._budget.allows(now_s):
+            return Refused(RefusedReason.RETRY_BUDGET_EXHAUSTED)
+        return self._retry(record, refused_by, now_s)
+
+    def closed(
+        self,
+        key: bytes,
+        listener: Listener,
+        target_name: str,
+        reset: bool,
+        now_s: float,
+    ) -> None:
+        """Release the slot of a flow that ended.
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        listener : Listener
+            Listener with the request class.
+        target_name : str
+            Target of the flow, used for long-lived flows.
+        reset : bool
+            Whether the target reset the flow.
+        now_s : float
+            Current time in seconds.
+        """
+        self._forget_undecided(key)
+        record = self._flows.get(key)
+        if record is None:
+            state = self._states.get(target_name)
+            if listener.mode == 'stream' and state is not None:
+                state.streams.change(-1, now_s)
+            return
+        self._remove(record, now_s)
+        if listener.mode == 'stream' or record.restored:
+            return
+        state = record.state
+        if reset:
+            state.evidence.note_reset()
+        else:
+            state.evidence.note_completed(
+                listener.target_port,
+                now_s - record.started_s,
+                warm=state.warmup is None,
+            )
+        self._check_cold_start(state, now_s)
+
+    def cancel(self, key: bytes, now_s: float) -> None:
+        """Forget a flow that its caller gave up.
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        now_s : float
+            Current time in seconds.
+        """
+        self._forget_undecided(key)
+        record = self._flows.get(key)
+        if record is None:
+            return
+        self._remove(record, now_s)
+        if record.listener.mode == 'request' and not record.restored:
+            record.state.evidence.note_abandoned(
+                record.listener.target_port, now_s - record.started_s
+            )
+            self._check_cold_start(record.state, now_s)
+
+    def poll(self, now_s: float) -> tuple[tuple[bytes, _Decision], ...]:
+        """Return the decisions about queued flows since the last call.
+
+        Call it every 10 ms, and after a flow ended while flows are queued.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        tuple of (bytes, Admitted or Refused)
+            Flow keys with their final decision.
+        """
+        self._release_expired(now_s)
+        if now_s - self._refreshed_s >= REFRESH_S:
+            self._refresh(now_s)
+            self._refuse_late(now_s)
+        self._dispatch(now_s)
+        decided = tuple(self._decided.items())
+        self._decided.clear()
+        return decided
+
+    def report(self, now_s: float) -> tuple[TargetReport, ...]:
+        """Return the state of all targets.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        tuple of TargetReport
+            One report for each target, ordered by name.
+        """
+        self._refresh_if_due(now_s)
+        return tuple(
+            self._states[name].report(now_s) for name in sorted(self._states)
+        )
+
+    def _updated(
+        self,
+        state: TargetState | None,
+        target: Target,
+        zones_out: frozenset[str],
+        now_s: float,
+    ) -> TargetState:
+        out_of_service = target.zone in zones_out
+        if state is None:
+            state = TargetState(target, now_s)
+            moved = target.name in self._service_names
+            returns = self._running and not moved
+        else:
+            returns = not state.serves or state.target.address != target.address
+        state.target = target
+        state.retired = False
+        state.out_of_service = out_of_service
+        if returns and state.serves:
+            state.begin_warmup(ColdStartReason.ANNOUNCED, now_s)
+        return state
+
+    def _abandon(self, state: TargetState, now_s: float) -> None:
+        state.out_of_service = True
+        state.abandon_flows(now_s)
+        lost = [key for key, item in self._flows.items() if item.state is state]
+        for key in lost:
+            self._flows.pop(key)
+            self._decided.pop(key, None)
+
+    def _repeated(
+        self, key: bytes, now_s: float
+    ) -> Admitted | Queued | Refused | None:
+        record = self._flows.get(key)
+        if record is None:
+            if key in self._queue:
+                return Queued(QueuedReason.REPEATED)
+            # A refusal that poll has not returned yet.
+            return self._decided.pop(key, None)
+        if not (record.accepted or record.unanswered):
+            if now_s - record.started_s >= UNANSWERED_S:
+                self._note_unanswered(record, now_s)
+        return Admitted(record.state.target, AdmittedReason.REPEATED)
+
+    def _note_unanswered(self, record: FlowRecord, now_s: float) -> None:
+        record.unanswered = True
+        record.state.evidence.note_refused()
+        self._check_cold_start(record.state, now_s)
+
+    def _forget_undecided(self, key: bytes) -> None:
+        self._queue.remove(key)
+        self._decided.pop(key, None)
+
+    def _serving(self) -> list[TargetState]:
+        zones = self._reachable_zones
+        return [
+            state
+            for state in self._states.values()
+            if state.serves and state.target.zone in zones
+        ]
+
+    def _candidates(self, mode: Mode, now_s: float) -> list[TargetState]:
+        return [
+            state
+            for state in self._serving()
+            if state.has_room(mode) and state.may_start(now_s)
+        ]
+
+    def _admit(self, flow: QueuedFlow, now_s: float) -> Admitted | None:
+        record = self._start(flow, frozenset(), now_s)
+        if record is None:
+            return None
+        self._budget.note_admitted(now_s)
+        return record
+
+    def _start(
+        self,
+        flow: QueuedFlow,
+        refused_by: frozenset[str],
+        now_s: float,
+    ) -> Admitted | None:
+        mode = flow.listener.mode
+        candidates = [
+            state
+            for state in self._candidates(mode, now_s)
+            if state.target.name not in refused_by
+        ]
+        if not candidates:
+            return None
+        state, reason = select_target(
+            candidates,
+            mode,
+            flow.ingress_zone,
+            self._mean_busy_s[mode],
+            now_s,
+            self._rng,
+        )
+        record = FlowRecord(
+            flow.key, flow.listener, state, now_s, flow.deadline_at_s
+        )
+        record.refused_by = refused_by
+        self._add(record, now_s)
+        if state.warmup is not None:
+            rate_per_s = self._full_rate_per_s(state, mode)
+            state.warmup.note_start(now_s, rate_per_s)
+        return Admitted(state.target, reason)
+
+    def _retry(
+        self,
+        record: FlowRecord,
+        refused_by: frozenset[str],
+        now_s: float,
+    ) -> Admitted | Refused:
+        flow = QueuedFlow(
+            record.key,
+            record.listener,
+            '',
+            record.started_s,
+            record.deadline_at_s,
+        )
+        admitted = self._start(flow, refused_by, now_s)
+        if admitted is None:
+            return Refused(RefusedReason.NO_CAPACITY)
+        self._budget.note_retried(now_s)
+        return Admitted(admitted.target, AdmittedReason.RETRY_AFTER_REFUSAL)
+
+    def _add(self, record: FlowRecord, now_s: float) -> None:
+        state = record.state
+        mode = record.listener.mode
+        self._flows[record.key] = record
+        if mode == 'request':
+            state.flows[record.key] = record
+            expires_s = record.deadline_at_s + self._limits.deadline_grace_s
+        else:
+            expires_s = now_s + self._limits.opening_s
+        state.occupancy(mode).change(1, now_s)
+        entry = (expires_s, next(self._sequence), record)
+        heapq.heappush(self._expiry, entry)
+
+    def _remove(self, record: FlowRecord, now_s: float) -> None:
+        state = record.state
+        self._flows.pop(record.key)
+        state.flows.pop(record.key, None)
+        state.occupancy(record.listener.mode).change(-1, now_s)
+
+    def _release_expired(self, now_s: float) -> None:
+        while self._expiry and self._expiry[0][0] <= now_s:
+            record = heapq.heappop(self._expiry)[2]
+            if self._flows.get(record.key) is not record:
+                continue
+            if not (record.accepted or record.unanswered):
+                self._note_unanswered(record, now_s)
+            if record.listener.mode == 'request':
+                self._remove(record, now_s)
+            else:
+                self._flows.pop(record.key)
+
+    def _full_rate_per_s(self, state: TargetState, mode: Mode) -> float:
+        target = state.target
+        if mode == 'request':
+            return max(target.slots, 1) / self._completion_s
+        return max(target.connections, 1) / max(target.warmup_s, 1)
+
+    def _rate_per_s(self, state: TargetState, mode: Mode) -> float:
+        warmup = state.warmup
+        if mode == 'request':
+            completion_s = state.evidence.recent_completion_s
+            rate = state.request_limit / (completion_s or self._completion_s)
+        else:
+            has_room = warmup is not None and state.has_room(mode)
+            rate = math.inf if has_room else 0
+        if warmup is None:
+            return rate
+        full_rate = self._full_rate_per_s(state, mode)
+        return min(rate, warmup.fraction * full_rate)
+
+    def _queued_reason(self, mode: Mode) -> QueuedReason:
+        if any(state.has_room(mode) for state in self._serving()):
+            return QueuedReason.WARM_UP_PACING
+        return QueuedReason.ALL_SLOTS_BUSY
+
+    def _refusal(
+        self, flow: QueuedFlow, ahead: int, now_s: float
+    ) -> RefusedReason | None:
+        """Return why a flow that waits behind others cannot be served."""
+        serving = self._serving()
+        if not serving:
+            if any(state.serves for state in self._states.values()):
+                return RefusedReason.ZONE_UNREACHABLE
+            return RefusedReason.NO_TARGET
+        mode = flow.listener.mode
+        rate_per_s = sum(
+            self._rate_per_s(state, mode)
+            for state in serving
+            if not state.is_paused(now_s)
+        )
+        if rate_per_s == 0:
+            return RefusedReason.NO_CAPACITY
+        completion_s = self._completion_s if mode == 'request' else 0
+        remaining_s = flow.deadline_at_s - now_s - completion_s
+        if (ahead + 1) / rate_per_s <= remaining_s:
+            return None
+        priority = flow.listener.priority
+        overtaken = self._queue.count_more_important(priority)
+        if (ahead - overtaken + 1) / rate_per_s <= remaining_s:
+            return RefusedReason.LOWER_PRIORITY
+        return RefusedReason.QUEUE_DEADLINE
+
+    def _refuse_late(self, now_s: float) -> None:
+        ahead = 0
+        for flow in self._queue:
+            reason = self._refusal(flow, ahead, now_s)
+            if reason is None:
+                ahead += 1
+                continue
+            self._queue.remove(flow.key)
+            self._decided[flow.key] = Refused(reason)
+
+    def _dispatch(self, now_s: float) -> None:
+        blocked: set[str] = set()
+        for flow in self._queue:
+            if flow.listener.mode in blocked:
+                continue
+            admitted = self._admit(flow, now_s)
+            if admitted is None:
+                blocked.add(flow.listener.mode)
+                if len(blocked) == 2:
+                    return
+                continue
+            self._queue.remove(flow.key)
+            self._decided[flow.key] = admitted
+
+    def _check_cold_start(self, state: TargetState, now_s: float) -> None:
+        evidence = state.evidence
+        reason = evidence.cold_start(self._peer_slowdown(state))
+        if reason is ColdStartReason.SLOW_COMPLETIONS and state.warmup:
+            return
+        if reason is None:
+            return
+        if reason is ColdStartReason.REFUSALS:
+            state.pause_after_refusals(now_s)
+        state.begin_warmup(reason, now_s)
+        self._refresh(now_s)
+
+    def _peer_slowdown(self, state: TargetState) -> float:
+        peers = [
+            peer.evidence.slowdown
+            for peer in self._states.values()
+            if peer is not state and peer.serves and peer.warmup is None
+        ]
+        return statistics.median(peers) if peers else 1.0
+
+    def _refresh_if_due(self, now_s: float) -> None:
+        if now_s - self._refreshed_s >= REFRESH_S:
+            self._refresh(now_s)
+
+    def _refresh(self, now_s: float) -> None:
+        self._refreshed_s = now_s
+        self._update_completion()
+        serving = [state for state in self._states.values() if state.serves]
+        self._update_stalls(serving, now_s)
+        for state in serving:
+            self._advance_warmup(state, now_s)
+        warm = [item for item in serving if item.warmup is None]
+        self._update_limits(warm, now_s)
+        for mode in self._mean_busy_s:
+            busy = (relative_busy_s(item, mode, now_s) for item in warm)
+            self._mean_busy_s[mode] = _mean(busy)
+
+    def _update_completion(self) -> None:
+        times = [
+            state.evidence.recent_completion_s
+            for state in self._states.values()
+            if state.serves and state.evidence.recent_completion_s
+        ]
+        if times:
+            self._completion_s = statistics.median(times)
+
+    def _update_stalls(self, serving: list[TargetState], now_s: float) -> None:
+        levels = [state.stall_level(now_s) for state in serving]
+        if 2 * sum(level >= 1 for level in levels) > len(levels):
+            # Most targets are slow, which no cold start explains.
+            levels = [0] * len(levels)
+        for state, level in zip(serving, levels, strict=True):
+            state.stalled = level >= 1
+            if level >= STALL_COLD_FACTOR and state.warmup is None:
+                state.begin_warmup(ColdStartReason.STALLED, now_s)
+
+    def _advance_warmup(self, state: TargetState, now_s: float) -> None:
+        warmup = state.warmup
+        if warmup is None:
+            return
+        peer_slowdown = max(self._peer_slowdown(state), 1)
+        slowdown = state.evidence.slowdown
+        warmup.advance(now_s, hold=slowdown > HOLD_FACTOR * peer_slowdown)
+        if not warmup.is_complete(now_s):
+            return
+        if slowdown > HOLD_FACTOR * peer_slowdown:
+            state.evidence.forget_baselines()
+        state.warmup = None
+
+    def _update_limits(self, warm: list[TargetState], now_s: float) -> None:
+        divisor = 2 if now_s < self._half_until_s else 1
+        mean_streams = _mean(state.streams.count for state in warm)
+        for state in self._states.values():
+            slots = state.target.slots
+            connections = state.target.connections
+            if state.warmup is not None:
+                slots = state.warmup.limit(slots)
+                # Reaches the mean number of connections at the end of the
+                # ramp instead of taking all new flows until then.
+                full = min(mean_streams or connections, connections)
+                connections = state.warmup.limit(full)
+            state.request_limit = max(slots // divisor, 1)
+            state.stream_limit = max(connections // divisor, 1)
+
+
+def _mean(numbers: Iterable[float]) -> float:
+    collected = tuple(numbers)
+    return sum(collected) / len(collected) if collected else 0
--- /dev/null
+++ b/siskinproxy/targets/target_state.py
@@ -0,0 +1,375 @@
+"""State of one target as the owner of its shard keeps it."""
+
+import enum
+from dataclasses import dataclass
+from typing import Final, Literal
+
+from siskinproxy.operators.configuration import Listener, Target
+from siskinproxy.targets.evidence import ColdStartReason, Evidence
+from siskinproxy.targets.occupancy import Occupancy
+from siskinproxy.targets.warmup import WarmUp
+
+__all__ = (
+    'FlowRecord',
+    'Mode',
+    'TargetReport',
+    'TargetState',
+    'TargetStatus',
+)
+
+Mode = Literal['request', 'stream']
+
+#: First pause before the next flow after two refusals in a row. It doubles
+#: with each further one, so that a target that is down costs few retries.
+FIRST_PAUSE_S: Final = 0.25
+MAX_PAUSE_S: Final = 5.0
+_MAX_DOUBLINGS: Final = 8
+
+#: Mean age of the requests in progress, relative to the baseline, above which
+#: a target counts as stalled, for a large number of requests.
+STALL_FACTOR: Final = 3.0
+#: Raises the factor for few requests, whose mean age varies more. With
+#: exponentially distributed completion times a false alarm then has a
+#: probability below 1.3e-4 for any number of requests.
+STALL_MARGIN: Final = 2.0
+#: Multiple of the stall threshold that counts as a cold start.
+STALL_COLD_FACTOR: Final = 2.0
+
+
+class TargetStatus(enum.Enum):
+    """Whether a target gets new flows, and how many."""
+
+    WARM = 'warm'
+    WARMING = 'warming'
+    DRAINING = 'draining'
+    OUT_OF_SERVICE = 'out_of_service'
+    RETIRED = 'retired'
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """State of a target for metrics and the administration API.
+
+    Parameters
+    ----------
+    name : str
+        Name of the target.
+    status : TargetStatus
+        Whether it gets new flows.
+    in_use : int
+        Requests in progress.
+    limit : int
+        Requests that may be in progress now.
+    connections : int
+        Long-lived flows.
+    connection_limit : int
+        Long-lived flows that the target may hold now.
+    busy_s : float
+        Busy slot time of the last 10 s, in seconds.
+    warmup_fraction : float
+        Share of the full load that the target gets, 1 when it is warm.
+    cold_start : ColdStartReason or None
+        What started the last warm-up.
+    """
+
+    name: str
+    status: TargetStatus
+    in_use: int
+    limit: int
+    connections: int
+    connection_limit: int
+    busy_s: float
+    warmup_fraction: float
+    cold_start: ColdStartReason | None
+
+
+class FlowRecord:
+    """Flow that was admitted.
+
+    Long-lived flows have a record only while they are opening, so that memory
+    does not grow with their number.
+
+    Parameters
+    ----------
+    key : bytes
+        Flow key.
+    listener : Listener
+        Listener with the request class.
+    state : TargetState
+        Target that the flow counts against.
+    started_s : float
+        Time of the admission to this target, in seconds.
+    deadline_at_s : float
+        Time by which the response has to be complete, in seconds.
+    """
+
+    __slots__ = (
+        'accepted',
+        'deadline_at_s',
+        'key',
+        'listener',
+        'refused_by',
+        'restored',
+        'started_s',
+        'state',
+        'unanswered',
+    )
+
+    def __init__(
+        self,
+        key: bytes,
+        listener: Listener,
+        state: 'TargetState',
+        started_s: float,
+        deadline_at_s: float,
+    ) -> None:
+        self.key = key
+        self.listener = listener
+        self.state = state
+        self.started_s = started_s
+        self.deadline_at_s = deadline_at_s
+        self.accepted = False
+        self.restored = False
+        self.unanswered = False
+        self.refused_by: frozenset[str] = frozenset()
+
+
+class TargetState:
+    """Flows, limits, warm-up and evidence of one target.
+
+    Parameters
+    ----------
+    target : Target
+        The target as declared.
+    now_s : float
+        Current time in seconds.
+    """
+
+    __slots__ = (
+        '_pause_until_s',
+        'cold_start',
+        'evidence',
+        'flows',
+        'out_of_service',
+        'request_limit',
+        'requests',
+        'retired',
+        'stalled',
+        'stream_limit',
+        'streams',
+        'target',
+        'warmup',
+    )
+
+    def __init__(self, target: Target, now_s: float) -> None:
+        self.target = target
+        self.requests = Occupancy(now_s)
+        self.streams = Occupancy(now_s)
+        self.evidence = Evidence()
+        self.flows: dict[bytes, FlowRecord] = {}
+        self.warmup: WarmUp | None = None
+        self.cold_start: ColdStartReason | None = None
+        self.out_of_service = False
+        self.retired = False
+        self.stalled = False
+        self.request_limit = target.slots
+        self.stream_limit = target.connections
+        self._pause_until_s: float = 0
+
+    @property
+    def status(self) -> TargetStatus:
+        """Whether the target gets new flows, and how many."""
+        if self.retired:
+            return TargetStatus.RETIRED
+        if self.out_of_service:
+            return TargetStatus.OUT_OF_SERVICE
+        if self.target.draining:
+            return TargetStatus.DRAINING
+        if self.warmup is not None:
+            return TargetStatus.WARMING
+        return TargetStatus.WARM
+
+    @property
+    def serves(self) -> bool:
+        """Whether the target is declared to take new flows."""
+        blocked = self.retired or self.out_of_service
+        return not (blocked or self.target.draining)
+
+    def occupancy(self, mode: Mode) -> Occupancy:
+        """Return the counter of flows of a mode.
+
+        Parameters
+        ----------
+        mode : {'request', 'stream'}
+            Mode of the listener.
+
+        Returns
+        -------
+        Occupancy
+            Counter that the flows of this mode use.
+        """
+        return self.requests if mode == 'request' else self.streams
+
+    def limit(self, mode: Mode) -> int:
+        """Return the limit for flows of a mode.
+
+        Parameters
+        ----------
+        mode : {'request', 'stream'}
+            Mode of the listener.
+
+        Returns
+        -------
+        int
+            Flows that may be in progress now.
+        """
+        return self.request_limit if mode == 'request' else self.stream_limit
+
+    def has_room(self, mode: Mode) -> bool:
+        """Return whether the limit permits another flow.
+
+        Parameters
+        ----------
+        mode : {'request', 'stream'}
+            Mode of the listener.
+
+        Returns
+        -------
+        bool
+            True if fewer flows than the limit are in progress.
+        """
+        return self.occupancy(mode).count < self.limit(mode)
+
+    def may_start(self, now_s: float) -> bool:
+        """Return whether pacing permits another flow now.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            False between paced starts of a warm-up, in a pause after
+            refusals, and while the requests in progress are stalled.
+        """
+        if self.stalled or now_s < self._pause_until_s:
+            return False
+        return self.warmup is None or self.warmup.may_start(now_s)
+
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether refusals keep the target from getting flows.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            True until the pause ends.
+        """
+        return now_s < self._pause_until_s
+
+    def begin_warmup(self, reason: ColdStartReason, now_s: float) -> None:
+        """Start the warm-up from the beginning.
+
+        Parameters
+        ----------
+        reason : ColdStartReason
+            What showed that the target is cold.
+        now_s : float
+            Current time in seconds.
+        """
+        self.cold_start = reason
+        self.warmup = WarmUp(self.target.warmup_s, now_s)
+        self.stalled = False
+        self.evidence.restart()
+
+    def pause_after_refusals(self, now_s: float) -> None:
+        """Set the time of the next attempt after refusals in a row.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+        """
+        doublings = min(max(self.evidence.refusals - 2, 0), _MAX_DOUBLINGS)
+        pause_s = min(FIRST_PAUSE_S * 2**doublings, MAX_PAUSE_S)
+        self._pause_until_s = now_s + pause_s
+
+    def stall_level(self, now_s: float) -> float:
+        """Return how far the requests in progress exceed their baseline.
+
+        A cold target under full load can fail before it completes enough
+        requests to compare, so the age of requests in progress counts too.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float
+            Mean age relative to the baseline, divided by the threshold for
+            this number of requests; 1 and more means stalled.
+        """
+        total: float = 0
+        count = 0
+        for record in self.flows.values():
+            port = record.listener.target_port
+            baseline_s = self.evidence.baseline_s(port)
+            if baseline_s and not record.restored:
+                total += (now_s - record.started_s) / baseline_s
+                count += 1
+        if not count:
+            return 0
+        threshold = STALL_FACTOR * (1 + STALL_MARGIN / count)
+        return total / count / threshold
+
+    def abandon_flows(self, now_s: float) -> tuple[bytes, ...]:
+        """Release all flows, because the zone is out of service.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        tuple of bytes
+            Keys of the released flows that had a record.
+        """
+        keys = tuple(self.flows)
+        self.flows.clear()
+        self.requests.change(-self.requests.count, now_s)
+        self.streams.change(-self.streams.count, now_s)
+        return keys
+
+    def report(self, now_s: float) -> TargetReport:
+        """Return the state for metrics.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        TargetReport
+            State at this time.
+        """
+        return TargetReport(
+            name=self.target.name,
+            status=self.status,
+            in_use=self.requests.count,
+            limit=self.request_limit,
+            connections=self.streams.count,
+            connection_limit=self.stream_limit,
+            busy_s=self.requests.busy_s(now_s),
+            warmup_fraction=self.warmup.fraction if self.warmup else 1.0,
+            cold_start=self.cold_start,
+        )
--- /dev/null
+++ b/siskinproxy/targets/tests/test_admission.py
@@ -0,0 +1,277 @@
+import random
+
+import pytest
+
+from siskinproxy.callers import (
+    Admitted,
+    AdmittedReason,
+    Queued,
+    Refused,
+    RefusedReason,
+)
+from siskinproxy.errors import InvariantViolation
+from siskinproxy.operators.configuration import Listener, Service, Target
+from siskinproxy.targets import AdmissionLimits, ShardAdmission, TargetStatus
+
+ZONES = frozenset({'a', 'b', 'c'})
+REQUESTS = Listener('10.0.0.1', 80, 8080)
+URGENT = Listener('10.0.0.1', 81, 8081, priority=0)
+STREAMS = Listener('10.0.0.1', 82, 8082, mode='stream')
+
+
+def build_targets(count=3, **settings):
+    return tuple(
+        Target(f't{index}', f'10.1.0.{index}', 'abc'[index % 3], **settings)
+        for index in range(count)
+    )
+
+
+def apply(shard, targets, now_s, zones_out=frozenset()):
+    service = Service('desk', (REQUESTS, URGENT, STREAMS), targets)
+    shard.apply(service, targets, zones_out, now_s)
+
+
+def build_shard(targets=None, *, takeover=False):
+    limits = AdmissionLimits()
+    rng = random.Random(1)
+    shard = ShardAdmission('desk', 0, limits, rng, 0.0, takeover)
+    apply(shard, build_targets() if targets is None else targets, 0.0)
+    return shard
+
+
+def open_flow(shard, number, now_s, listener=REQUESTS, zones=ZONES):
+    return shard.open(number.to_bytes(12), listener, 'a', zones, now_s)
+
+
+def close_flow(shard, number, target, now_s, listener=REQUESTS, reset=False):
+    key = number.to_bytes(12)
+    shard.closed(key, listener, target.name, reset, now_s)
+
+
+def run_requests(shard, count, now_s, duration_s=0.05, numbers=1000):
+    """Complete requests one after the other to teach the baselines."""
+    for number in range(numbers, numbers + count):
+        decision = open_flow(shard, number, now_s)
+        now_s += duration_s
+        close_flow(shard, number, decision.target, now_s)
+    return now_s
+
+
+def reports(shard, now_s):
+    return {report.name: report for report in shard.report(now_s)}
+
+
+def test_fills_all_slots_evenly_and_queues_the_next():
+    """Guards against slots that stay idle and limits that are exceeded."""
+    shard = build_shard()
+    for number in range(12):
+        assert isinstance(open_flow(shard, number, 0.01), Admitted)
+    assert isinstance(open_flow(shard, 12, 0.01), Queued)
+    assert {report.in_use for report in shard.report(0.01)} == {4}
+
+
+def test_repeated_open_keeps_the_target_and_the_slot():
+    """Guards against a second target for a retransmitted SYN."""
+    shard = build_shard()
+    first = open_flow(shard, 1, 0.0)
+    again = open_flow(shard, 1, 0.5)
+    assert again == Admitted(first.target, AdmittedReason.REPEATED)
+    assert sum(report.in_use for report in shard.report(0.5)) == 1
+
+
+def test_priority_classes_leave_the_queue_in_order():
+    """Guards against important flows that wait behind others."""
+    shard = build_shard(build_targets(1, slots=1))
+    target = open_flow(shard, 1, 0.0).target
+    open_flow(shard, 2, 0.01)
+    open_flow(shard, 3, 0.02, URGENT)
+    close_flow(shard, 1, target, 0.05)
+    ((key, decision),) = shard.poll(0.05)
+    assert key == (3).to_bytes(12)
+    assert isinstance(decision, Admitted)
+
+
+def test_refuses_when_the_expected_wait_exceeds_the_deadline():
+    """Guards against flows that wait in the queue without a chance."""
+    shard = build_shard(build_targets(1, slots=1))
+    run_requests(shard, 20, 0.0, duration_s=0.3)
+    open_flow(shard, 1, 10.0)
+    decisions = [open_flow(shard, number, 10.0) for number in (2, 3, 4)]
+    assert decisions[-1] == Refused(RefusedReason.QUEUE_DEADLINE)
+    assert isinstance(decisions[0], Queued)
+
+
+def test_lower_priority_gives_way_under_overload():
+    """Guards against overload that hits the important class first."""
+    shard = build_shard(build_targets(1, slots=1))
+    run_requests(shard, 20, 0.0, duration_s=0.3)
+    open_flow(shard, 1, 10.0)
+    open_flow(shard, 2, 10.0)
+    urgent = [open_flow(shard, number, 10.1, URGENT) for number in (3, 4)]
+    assert all(isinstance(decision, Queued) for decision in urgent)
+    refused = Refused(RefusedReason.LOWER_PRIORITY)
+    assert shard.poll(10.2) == (((2).to_bytes(12), refused),)
+    assert open_flow(shard, 5, 10.2) == refused
+
+
+@pytest.mark.parametrize(
+    ('targets', 'zones', 'reason'),
+    [
+        ((), ZONES, RefusedReason.NO_TARGET),
+        (build_targets(draining=True), ZONES, RefusedReason.NO_TARGET),
+        (build_targets(), frozenset(), RefusedReason.ZONE_UNREACHABLE),
+    ],
+    ids=['none', 'draining', 'unreachable'],
+)
+def test_names_the_reason_of_a_refusal(targets, zones, reason):
+    """Guards against refusals that hide their cause from operators."""
+    shard = build_shard(targets)
+    assert open_flow(shard, 1, 0.0, zones=zones) == Refused(reason)
+
+
+def test_retries_a_refused_flow_on_another_target_within_the_budget():
+    """Guards against retry storms and against retrying the same target."""
+    shard = build_shard()
+    seen = []
+    for number in range(5):
+        first = open_flow(shard, number, 0.0).target
+        decision = shard.target_refused(number.to_bytes(12), 0.01)
+        if isinstance(decision, Admitted):
+            assert decision.target != first
+            assert decision.reason is AdmittedReason.RETRY_AFTER_REFUSAL
+        seen.append(decision)
+    assert sum(isinstance(item, Admitted) for item in seen) == 3
+    exhausted = Refused(RefusedReason.RETRY_BUDGET_EXHAUSTED)
+    assert seen[-2:] == [exhausted, exhausted]
+
+
+def test_no_refusal_after_the_target_accepted():
+    """Guards against a false refusal of a request that may be running."""
+    shard = build_shard()
+    open_flow(shard, 1, 0.0)
+    shard.accepted((1).to_bytes(12), 0.01)
+    with pytest.raises(InvariantViolation, match='truthful_refusal'):
+        shard.target_refused((1).to_bytes(12), 0.02)
+
+
+def test_new_target_warms_up_and_never_exceeds_its_limit():
+    """Guards against full load on a target in a cold start."""
+    shard = build_shard(build_targets(2, slots=10))
+    apply(shard, build_targets(3, slots=10), 5.0)
+    assert reports(shard, 5.0)['t2'].status is TargetStatus.WARMING
+    assert reports(shard, 5.0)['t2'].limit == 1
+    for number in range(30):
+        open_flow(shard, number, 6.0)
+    state = reports(shard, 6.0)['t2']
+    assert state.in_use <= state.limit == 1
+    assert reports(shard, 20.0)['t2'].limit == 5
+    assert reports(shard, 35.1)['t2'].status is TargetStatus.WARM
+
+
+def test_two_refusals_in_a_row_start_a_warm_up():
+    """Guards against full load on a target that restarted unannounced."""
+    shard = build_shard(build_targets(1))
+    for number in range(2):
+        open_flow(shard, number, 0.0)
+        shard.target_refused(number.to_bytes(12), 0.01)
+    assert reports(shard, 0.02)['t0'].status is TargetStatus.WARMING
+
+
+def test_slow_completions_of_one_target_start_a_warm_up():
+    """Guards against cold starts that health endpoints do not show."""
+    shard = build_shard(build_targets(3, slots=1))
+    now_s = run_requests(shard, 120, 0.0)
+    for number in range(120):
+        decision = open_flow(shard, number, now_s)
+        slow = decision.target.name == 't1'
+        now_s += 0.2 if slow else 0.05
+        close_flow(shard, number, decision.target, now_s)
+    state = reports(shard, now_s)
+    assert state['t1'].status is TargetStatus.WARMING
+    assert state['t0'].status is TargetStatus.WARM
+
+
+def test_slowdown_of_all_targets_starts_no_warm_up():
+    """Guards against losing all capacity to a shared cause of slowness."""
+    shard = build_shard()
+    now_s = run_requests(shard, 120, 0.0)
+    now_s = run_requests(shard, 60, now_s, duration_s=0.4, numbers=5000)
+    states = {report.status for report in shard.report(now_s)}
+    assert states == {TargetStatus.WARM}
+
+
+def test_zone_out_of_service_gets_no_flows_and_warms_up_on_return():
+    """Guards against new flows to a zone that operators took out."""
+    shard = build_shard()
+    for number in range(12):
+        open_flow(shard, number, 0.0)
+    apply(shard, build_targets(), 1.0, zones_out=frozenset({'b'}))
+    assert reports(shard, 1.0)['t1'].in_use == 0
+    assert reports(shard, 1.0)['t1'].status is TargetStatus.OUT_OF_SERVICE
+    assert isinstance(open_flow(shard, 20, 1.0), Queued)
+    apply(shard, build_targets(), 2.0)
+    assert reports(shard, 2.0)['t1'].status is TargetStatus.WARMING
+
+
+def test_removed_target_keeps_its_flows_until_they_end():
+    """Guards against forgetting slots of a target that drains."""
+    shard = build_shard()
+    for number in range(12):
+        open_flow(shard, number, 0.0)
+    apply(shard, build_targets(2), 1.0)
+    assert reports(shard, 1.0)['t2'].status is TargetStatus.RETIRED
+    assert reports(shard, 1.0)['t2'].in_use == 4
+
+
+def test_takeover_grants_half_of_each_limit_for_two_seconds():
+    """Guards against overload while the previous owner still admits."""
+    shard = build_shard(takeover=True)
+    shard.restore((99).to_bytes(12), REQUESTS, 't0', 0.0)
+    assert {report.limit for report in shard.report(0.0)} == {2}
+    assert reports(shard, 0.0)['t0'].in_use == 1
+    assert {report.limit for report in shard.report(2.1)} == {4}
+
+
+def test_restored_flow_is_counted_once():
+    """Guards against slots lost when replication repeats an entry."""
+    shard = build_shard()
+    for _ in range(2):
+        shard.restore((1).to_bytes(12), REQUESTS, 't0', 0.0)
+    assert reports(shard, 0.0)['t0'].in_use == 1
+    for _ in range(2):
+        shard.closed((1).to_bytes(12), REQUESTS, 't0', False, 0.1)
+    assert reports(shard, 0.1)['t0'].in_use == 0
+
+
+def test_slot_is_released_after_the_deadline_and_grace():
+    """Guards against slots that are lost with the segment that ends a flow."""
+    shard = build_shard(build_targets(1))
+    open_flow(shard, 1, 0.0)
+    shard.poll(2.9)
+    assert reports(shard, 2.9)['t0'].in_use == 1
+    shard.poll(3.1)
+    assert reports(shard, 3.1)['t0'].in_use == 0
+
+
+def test_cancelled_flow_leaves_the_queue_and_gets_no_decision():
+    """Guards against work for a caller that has gone."""
+    shard = build_shard(build_targets(1, slots=1))
+    target = open_flow(shard, 1, 0.0).target
+    open_flow(shard, 2, 0.0)
+    shard.cancel((2).to_bytes(12), 0.01)
+    close_flow(shard, 1, target, 0.05)
+    assert shard.poll(0.06) == ()
+    assert reports(shard, 0.06)['t0'].in_use == 0
+
+
+def test_streams_keep_no_record_after_they_were_accepted():
+    """Guards against memory that grows with the number of long flows."""
+    shard = build_shard()
+    for number in range(3000):
+        target = open_flow(shard, number, 0.0, STREAMS).target
+        shard.accepted(number.to_bytes(12), 0.01)
+    counts = [report.connections for report in shard.report(0.02)]
+    assert counts == [1000, 1000, 1000]
+    assert not shard._flows
+    close_flow(shard, 2999, target, 0.03, STREAMS)
+    assert sum(report.connections for report in shard.report(0.03)) == 2999
