--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -4,8 +4,10 @@
 
 __all__ = (
     'ConfigurationError',
+    'GossipFormatError',
     'InvariantViolation',
     'LeaseLostError',
+    'LinkFormatError',
     'SegmentFormatError',
     'SettingsError',
     'SiskinproxyError',
@@ -61,6 +63,14 @@
     """A datagram from another instance cannot be decoded."""
 
 
+class GossipFormatError(SiskinproxyError):
+    """A message between control processes is malformed or too long."""
+
+
+class LinkFormatError(SiskinproxyError):
+    """A frame between control and packet process is malformed or too long."""
+
+
 class InvariantViolation(SiskinproxyError):
     """An invariant of the design page does not hold.
 
--- a/siskinproxy/instances/__init__.py
+++ b/siskinproxy/instances/__init__.py
@@ -1,3 +1,28 @@
-"""Interfaces towards other instances."""
+"""Interfaces towards other instances: membership and configuration."""
 
-__all__ = ()
+from siskinproxy.instances.configuration_state import (
+    ConfigurationInForce,
+    ConfigurationResult,
+    ConfigurationState,
+)
+from siskinproxy.instances.configuration_transfer import (
+    ConfigurationTransfer,
+    FetchedConfiguration,
+    TransferStep,
+)
+from siskinproxy.instances.gossip import decode_message, encode_message
+from siskinproxy.instances.membership import Membership, Send, Step
+
+__all__ = (
+    'ConfigurationInForce',
+    'ConfigurationResult',
+    'ConfigurationState',
+    'ConfigurationTransfer',
+    'FetchedConfiguration',
+    'Membership',
+    'Send',
+    'Step',
+    'TransferStep',
+    'decode_message',
+    'encode_message',
+)
--- /dev/null
+++ b/siskinproxy/instances/gossip.py
@@ -0,0 +1,335 @@
+"""Messages between control processes and their encoding.
+
+Every message starts with a header that announces the sender's record, the
+generation of its configuration and the age of the youngest store read that
+it knows of. A datagram holds one message of at most 1,200 bytes.
+"""
+
+from typing import Final, Literal
+
+import msgspec
+
+from siskinproxy.balancer.snapshot import Member
+from siskinproxy.errors import GossipFormatError
+
+__all__ = (
+    'CHUNK_BYTES',
+    'CONDITION_ALIVE',
+    'CONDITION_DEAD',
+    'CONDITION_SUSPECT',
+    'MAX_DATAGRAM_BYTES',
+    'NEVER_READ',
+    'UDP_OVERHEAD_BYTES',
+    'Ack',
+    'BlobBusy',
+    'BlobChunk',
+    'BlobRequest',
+    'Gossip',
+    'Header',
+    'MembersPage',
+    'MembersRequest',
+    'Message',
+    'Ping',
+    'PingRequest',
+    'Record',
+    'Update',
+    'decode_message',
+    'encode_message',
+    'fit_updates',
+    'member_of',
+    'record_of',
+)
+
+#: Fits into the minimum IPv6 MTU with headers, so no path fragments it.
+MAX_DATAGRAM_BYTES: Final = 1200
+
+#: Leaves room for the header of a sender with names of up to 48 bytes.
+CHUNK_BYTES: Final = 960
+
+#: IPv4 and UDP headers, counted in the control bytes of a node.
+UDP_OVERHEAD_BYTES: Final = 28
+
+#: Store age of a sender that knows of no store read.
+NEVER_READ: Final = -1
+
+CONDITION_ALIVE: Final = 0
+CONDITION_SUSPECT: Final = 1
+CONDITION_DEAD: Final = 2
+
+#: Array header, tags and sequence numbers around the updates.
+_ENVELOPE_BYTES: Final = 32
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance states about itself.
+
+    Parameters
+    ----------
+    name : str
+        Unique name of the instance.
+    zone : str
+        Availability zone.
+    address : str
+        IPv4 address of both processes.
+    packet_port : int
+        UDP port of the packet process.
+    control_port : int
+        UDP port of the control process.
+    incarnation : int
+        Only the instance itself raises it: at each start, at each change of
+        its status and to refute a suspicion.
+    status : {'joining', 'alive', 'leaving'}
+        A ``joining`` instance has no configuration and is no home.
+    """
+
+    name: str
+    zone: str
+    address: str
+    packet_port: int
+    control_port: int
+    incarnation: int = 0
+    status: Literal['joining', 'alive', 'leaving'] = 'joining'
+
+
+class Update(msgspec.Struct, frozen=True, array_like=True):
+    """Statement about a member that is passed on.
+
+    Parameters
+    ----------
+    record : Record
+        The member's own statement.
+    condition : int
+        ``CONDITION_ALIVE``, ``CONDITION_SUSPECT`` or ``CONDITION_DEAD``.
+    age_ms : int
+        Age of the suspicion in milliseconds, so that all members decide at
+        about the same time.
+    """
+
+    record: Record
+    condition: int = CONDITION_ALIVE
+    age_ms: int = 0
+
+
+class Header(msgspec.Struct, frozen=True, array_like=True):
+    """Sender of a message and the configuration that it has in force.
+
+    Parameters
+    ----------
+    record : Record
+        The sender.
+    generation : int
+        Generation in force, 0 without a configuration.
+    head_digest : bytes
+        Digest of the head of that generation.
+    store_age_ms : int
+        Age of the youngest store read that the sender made or heard of, in
+        milliseconds, or ``NEVER_READ``.
+    """
+
+    record: Record
+    generation: int = 0
+    head_digest: bytes = b''
+    store_age_ms: int = NEVER_READ
+
+
+class _Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of all messages."""
+
+    header: Header
+
+
+class Ping(_Message, frozen=True, array_like=True, tag='p'):
+    """Probe that the receiver answers with an `Ack`."""
+
+    sequence: int
+    updates: tuple[Update, ...] = ()
+
+
+class PingRequest(_Message, frozen=True, array_like=True, tag='r'):
+    """Asks a helper to probe `target` for the sender."""
+
+    sequence: int
+    target: Record
+    updates: tuple[Update, ...] = ()
+
+
+class Ack(_Message, frozen=True, array_like=True, tag='a'):
+    """Answer to a probe; `subject` is the member that is alive."""
+
+    sequence: int
+    subject: str
+    updates: tuple[Update, ...] = ()
+
+
+class Gossip(_Message, frozen=True, array_like=True, tag='g'):
+    """News that is sent without a probe and not acknowledged."""
+
+    updates: tuple[Update, ...] = ()
+
+
+class MembersPage(_Message, frozen=True, array_like=True, tag='l'):
+    """Page of the member list.
+
+    Parameters
+    ----------
+    updates : tuple of Update
+        Members by name, those that are dead left out.
+    page_end : str
+        Name after which the next page starts; empty for the last page.
+    """
+
+    updates: tuple[Update, ...] = ()
+    page_end: str = ''
+
+
+class MembersRequest(_Message, frozen=True, array_like=True, tag='m'):
+    """Asks for the members whose names follow `after`."""
+
+    after: str = ''
+
+
+class BlobRequest(_Message, frozen=True, array_like=True, tag='q'):
+    """Asks for a chunk of the head or a section, named by its digest."""
+
+    digest: bytes
+    offset: int
+
+
+class BlobChunk(_Message, frozen=True, array_like=True, tag='c'):
+    """Chunk of the head or of a section."""
+
+    digest: bytes
+    offset: int
+    size_bytes: int
+    chunk: bytes
+
+
+class BlobBusy(_Message, frozen=True, array_like=True, tag='b'):
+    """The sender lacks the blob or has spent its transfer budget."""
+
+    digest: bytes
+    missing: bool = False
+
+
+Message = (
+    Ping
+    | PingRequest
+    | Ack
+    | Gossip
+    | MembersPage
+    | MembersRequest
+    | BlobRequest
+    | BlobChunk
+    | BlobBusy
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message as one datagram.
+
+    Parameters
+    ----------
+    message : Message
+        Any of the message types of this module.
+
+    Returns
+    -------
+    bytes
+        At most ``MAX_DATAGRAM_BYTES`` bytes.
+
+    Raises
+    ------
+    GossipFormatError
+        If the message does not fit.
+    """
+    datagram = _ENCODER.encode(message)
+    if len(datagram) > MAX_DATAGRAM_BYTES:
+        kind = type(message).__name__
+        raise GossipFormatError(f'kind={kind} bytes={len(datagram)}')
+    return datagram
+
+
+def decode_message(datagram: bytes) -> Message:
+    """Decode a datagram.
+
+    Parameters
+    ----------
+    datagram : bytes
+        Payload of a UDP datagram.
+
+    Returns
+    -------
+    Message
+        The message.
+
+    Raises
+    ------
+    GossipFormatError
+        If the datagram is too long or no message of this module.
+    """
+    if len(datagram) > MAX_DATAGRAM_BYTES:
+        raise GossipFormatError(f'bytes={len(datagram)}')
+    try:
+        return _DECODER.decode(datagram)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise GossipFormatError(f'reason="{exc}"') from exc
+
+
+def fit_updates(
+    header: Header,
+    updates: tuple[Update, ...],
+    extra_bytes: int = 0,
+) -> tuple[Update, ...]:
+    """Return the leading updates that fit into a datagram.
+
+    Parameters
+    ----------
+    header : Header
+        Header of the message.
+    updates : tuple of Update
+        Updates in the order of their urgency.
+    extra_bytes : int
+        Size of the other fields of the message.
+
+    Returns
+    -------
+    tuple of Update
+        The updates that fit.
+    """
+    room = MAX_DATAGRAM_BYTES - _ENVELOPE_BYTES - extra_bytes
+    room -= len(_ENCODER.encode(header))
+    chosen = []
+    for update in updates:
+        room -= len(_ENCODER.encode(update))
+        if room < 0:
+            break
+        chosen.append(update)
+    return tuple(chosen)
+
+
+def record_of(member: Member) -> Record:
+    """Return the record of an instance that is about to join."""
+    return Record(
+        member.name,
+        member.zone,
+        member.address,
+        member.packet_port,
+        member.control_port,
+        member.incarnation,
+    )
+
+
+def member_of(record: Record) -> Member:
+    """Return the member of a routing snapshot for a record."""
+    return Member(
+        record.name,
+        record.zone,
+        record.address,
+        record.packet_port,
+        record.control_port,
+        record.incarnation,
+        'leaving' if record.status == 'leaving' else 'alive',
+    )
--- /dev/null
+++ b/siskinproxy/instances/tests/test_membership.py
@@ -0,0 +1,249 @@
+"""Guards the rules of the membership state machine one at a time."""
+
+import random
+
+import pytest
+
+from siskinproxy.balancer.snapshot import Member
+from siskinproxy.instances.gossip import (
+    CONDITION_DEAD,
+    CONDITION_SUSPECT,
+    NEVER_READ,
+    Ack,
+    Gossip,
+    Header,
+    Ping,
+    PingRequest,
+    Update,
+    record_of,
+)
+from siskinproxy.instances.membership import Membership
+
+
+def member(name, zone='a', incarnation=1):
+    port = 9000 + int(name[1:])
+    return Member(name, zone, '127.0.0.1', port + 1000, port, incarnation)
+
+
+def header_of(identity, status='alive', **fields):
+    record = record_of(identity)
+    stated = type(record)(*_values(record)[:-1], status)
+    return Header(stated, **fields)
+
+
+def _values(record):
+    return [getattr(record, field) for field in record.__struct_fields__]
+
+
+def make_membership(name='i0', zone='a', seeds=()):
+    return Membership(member(name, zone), random.Random(1), seeds, 0)
+
+
+def introduce(membership, identity, now_s=0, **fields):
+    message = Ping(header_of(identity, **fields), 1)
+    return membership.on_message(message, now_s)
+
+
+def run(membership, until_s, from_s=0.0):
+    """Drive the timer alone, so that nobody answers."""
+    steps = []
+    now_s = from_s
+    while now_s < until_s:
+        now_s += 0.05
+        steps.append((now_s, membership.on_timer(now_s)))
+    return steps
+
+
+def test_ping_is_acknowledged_with_its_sequence():
+    """Guards against an answer that the prober cannot match."""
+    membership = make_membership()
+    step = introduce(membership, member('i1'))
+    acks = [send for send in step.sends if isinstance(send.message, Ack)]
+    assert acks[0].address == ('127.0.0.1', 9001)
+    assert acks[0].message.sequence == 1
+    assert acks[0].message.subject == 'i0'
+
+
+def test_silent_member_is_suspected_then_dead_within_two_seconds():
+    """Guards against a failed member that stays a home."""
+    membership = make_membership()
+    introduce(membership, member('i1'))
+    changes = [
+        (now_s, change)
+        for now_s, step in run(membership, 2)
+        for change in step.changes
+    ]
+    assert [change.after for _, change in changes] == ['suspect', 'dead']
+    assert changes[1][0] - changes[0][0] == pytest.approx(0.6, abs=0.06)
+    assert [item.name for item in membership.members()] == []
+
+
+def test_helpers_probe_after_300_ms():
+    """Guards against suspecting a member that others can reach."""
+    membership = make_membership()
+    for name in ('i1', 'i2', 'i3'):
+        introduce(membership, member(name))
+    requests = []
+    first_ping_s = None
+    for now_s, step in run(membership, 0.6):
+        for send in step.sends:
+            if isinstance(send.message, Ping) and first_ping_s is None:
+                first_ping_s = now_s
+            if isinstance(send.message, PingRequest):
+                requests.append((now_s, send))
+    at_s = requests[0][0]
+    assert at_s - first_ping_s == pytest.approx(0.3, abs=0.06)
+    first = [send for now_s, send in requests if now_s == at_s]
+    subject = first[0].message.target.control_port
+    assert len({send.address for send in first}) == 2
+    assert ('127.0.0.1', subject) not in {send.address for send in first}
+
+
+def test_helper_returns_the_answer_to_the_asker():
+    """Guards against a helper that keeps the evidence to itself."""
+    helper = make_membership()
+    asker, subject = member('i1'), member('i2')
+    introduce(helper, asker)
+    introduce(helper, subject)
+    request = PingRequest(header_of(asker), 77, record_of(subject))
+    step = helper.on_message(request, 0.1)
+    ping = next(send.message for send in step.sends if send.address[1] == 9002)
+    ack = Ack(header_of(subject), ping.sequence, 'i2')
+    step = helper.on_message(ack, 0.11)
+    answers = [send for send in step.sends if send.address[1] == 9001]
+    assert answers[0].message.sequence == 77
+    assert answers[0].message.subject == 'i2'
+
+
+@pytest.mark.parametrize('condition', [CONDITION_SUSPECT, CONDITION_DEAD])
+def test_statement_about_itself_is_refuted(condition):
+    """Guards against a resumed instance that stays suspected or dead."""
+    membership = make_membership()
+    introduce(membership, member('i1'))
+    update = Update(membership.record, condition)
+    step = membership.on_message(
+        Gossip(header_of(member('i1')), (update,)),
+        0.1,
+    )
+    assert membership.record.incarnation == 2
+    assert step.changes[0].reason == 'refuted a statement'
+    assert step.sends[0].message.header.record.incarnation == 2
+
+
+def test_refutation_revives_a_dead_member():
+    """Guards against a live member that stays dead."""
+    membership = make_membership()
+    introduce(membership, member('i1'))
+    run(membership, 2)
+    assert membership.states()['i1'] == 'dead'
+    step = introduce(membership, member('i1'), 2.05)
+    told = [
+        send.message.updates[0]
+        for send in step.sends
+        if isinstance(send.message, Ping)
+    ]
+    assert told[0].condition == CONDITION_DEAD
+    assert membership.states()['i1'] == 'dead'
+    introduce(membership, member('i1', incarnation=2), 2.1)
+    assert membership.states()['i1'] == 'alive'
+
+
+def test_joining_member_is_no_home():
+    """Guards against a home without a configuration."""
+    membership = make_membership()
+    introduce(membership, member('i1'), status='joining')
+    assert membership.states() == {'i0': 'joining', 'i1': 'joining'}
+    assert membership.members() == ()
+    membership.set_serving(True, 0.1)
+    introduce(membership, member('i1', incarnation=2))
+    names = [item.name for item in membership.members()]
+    assert names == ['i0', 'i1']
+
+
+def test_leaving_is_final():
+    """Guards against a stopping instance that becomes a home again."""
+    membership = make_membership()
+    membership.set_serving(True, 0)
+    step = membership.leave(0.1)
+    assert step.changes[0].after == 'leaving'
+    membership.set_serving(True, 0.2)
+    assert membership.members()[0].status == 'leaving'
+
+
+def test_stale_platform_list_neither_adds_nor_removes():
+    """Guards against the list overruling direct evidence."""
+    membership = make_membership()
+    membership.set_serving(True, 0)
+    introduce(membership, member('i1'))
+    membership.suggest([('127.0.0.1', 9007)], ['a'])
+    steps = run(membership, 0.2)
+    probed = {send.address for _, step in steps for send in step.sends}
+    assert ('127.0.0.1', 9007) in probed
+    names = [item.name for item in membership.members()]
+    assert names == ['i0', 'i1']
+
+
+def test_paused_instance_does_not_declare_its_peers_dead():
+    """Guards against timeouts that passed while the process was frozen."""
+    membership = make_membership()
+    introduce(membership, member('i1'))
+    run(membership, 0.3)
+    step = membership.on_timer(60.0)
+    assert step.changes == ()
+    assert membership.states()['i1'] == 'alive'
+
+
+def test_clock_that_jumps_back_does_not_stop_the_timers():
+    """Guards against a standstill until the clock catches up."""
+    membership = make_membership()
+    introduce(membership, member('i1'), 100.0)
+    changes = [
+        change
+        for _, step in run(membership, 52, from_s=50)
+        for change in step.changes
+    ]
+    assert [change.after for change in changes] == ['suspect', 'dead']
+
+
+def test_zones_are_probed_in_turn():
+    """Guards against a zone that is not heard from for seconds."""
+    membership = make_membership()
+    for index in range(1, 10):
+        introduce(membership, member(f'i{index}', 'abc'[index % 3]))
+    order = membership._order
+    living = membership._table.living()
+    zones = [order.select(living).record.zone for _ in range(9)]
+    for start in (0, 3, 6):
+        assert sorted(zones[start : start + 3]) == ['a', 'b', 'c']
+
+
+@pytest.mark.parametrize(
+    ('listed', 'store_age_ms', 'expected_s'),
+    [
+        (['a', 'b'], 0, float('inf')),
+        (['a'], 0, 1.0),
+        (['a'], 500, 1.5),
+        (['a'], NEVER_READ, float('inf')),
+        (None, 0, float('inf')),
+    ],
+)
+def test_zone_without_listed_instance_uses_the_store_read(
+    listed,
+    store_age_ms,
+    expected_s,
+):
+    """Guards the exception of the zone reachability rule."""
+    membership = make_membership()
+    if listed is not None:
+        membership.suggest([], listed)
+    introduce(membership, member('i1'), 0, store_age_ms=store_age_ms)
+    sight = membership.zone_sight_s(['a', 'b'], 1.0)
+    assert sight == {'a': 0, 'b': pytest.approx(expected_s)}
+
+
+def test_zone_sight_grows_without_messages():
+    """Guards against sending to a zone that cannot be heard."""
+    membership = make_membership()
+    introduce(membership, member('i1', 'b'))
+    run(membership, 3.1)
+    assert membership.zone_sight_s(['b'], 3.1)['b'] > 3
