--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -3,9 +3,12 @@
 from typing import Final
 
 __all__ = (
+    'EXIT_SETTINGS',
     'ConfigurationError',
+    'GossipFormatError',
     'InvariantViolation',
     'LeaseLostError',
+    'LinkFormatError',
     'SectionDigestError',
     'SegmentFormatError',
     'SettingsError',
@@ -66,6 +69,14 @@
     """A datagram from another instance cannot be decoded."""
 
 
+class GossipFormatError(SiskinproxyError):
+    """A message between control processes is malformed or too long."""
+
+
+class LinkFormatError(SiskinproxyError):
+    """A frame between control and packet process is malformed or too long."""
+
+
 class InvariantViolation(SiskinproxyError):
     """An invariant of the design page does not hold.
 
