--- a/siskinproxy/balancer/counters.py
+++ b/siskinproxy/balancer/counters.py
@@ -52,3 +52,7 @@
     unreachable: int = 0
     violations: int = 0
     tunnel_datagrams: int = 0
+
+    def as_dict(self) -> dict[str, int]:
+        """Return all counters by name."""
+        return msgspec.structs.asdict(self)
--- /dev/null
+++ b/siskinproxy/balancer/packet_process.py
@@ -0,0 +1,285 @@
+"""Packet process of an instance: sockets and timers around the engine."""
+
+import random
+import signal
+import socket
+import time
+from contextlib import closing
+from typing import Final
+
+import fire
+import gevent
+from gevent import monkey
+from gevent.event import Event
+from gevent.hub import get_hub
+
+from siskinproxy.balancer.control_link import (
+    ControlLinkServer,
+    CounterReport,
+    Keepalive,
+    SnapshotMessage,
+)
+from siskinproxy.balancer.engine import PacketEngine
+from siskinproxy.balancer.logs import EventLog
+from siskinproxy.balancer.settings import (
+    InstanceSettings,
+    read_settings,
+    run_or_exit,
+)
+from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
+from siskinproxy.instances.tunnel import TUNNEL_VERSION
+
+__all__ = ('PacketProcess', 'main')
+
+_TIMER_PERIOD_S: Final = 0.01
+_MAX_DATAGRAM_BYTES: Final = 65535
+
+#: Datagrams handled before other greenlets run; bounds the delay of timers
+#: at about 1 ms.
+_BURST: Final = 128
+
+#: Kernel buffer for bursts while Python handles one; the kernel may grant
+#: less.
+_SOCKET_BUFFER_BYTES: Final = 4 * 1024 * 1024
+
+_READ: Final = 1
+_DRAIN_POLL_S: Final = 0.1
+
+#: Time without a datagram from the fabric that shows that its list of
+#: instances has caught up.
+_QUIET_S: Final = 2.0
+
+
+class SocketOutbox:
+    """Sends the engine's datagrams through one UDP socket.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Non-blocking UDP socket.
+    fabric : tuple of str and int
+        Address and port of the fabric.
+
+    Attributes
+    ----------
+    dropped : int
+        Datagrams that the kernel did not take; TCP repeats their segments.
+    """
+
+    __slots__ = ('_fabric', '_sendto', 'dropped')
+
+    def __init__(self, sock: socket.socket, fabric: tuple[str, int]) -> None:
+        self._sendto = sock.sendto
+        self._fabric = fabric
+        self.dropped = 0
+
+    def to_target(self, address: tuple[str, int], segment: bytes) -> None:
+        """Send a segment to a target."""
+        self._send(segment, address)
+
+    def to_caller(self, segment: bytes) -> None:
+        """Send a segment to a caller by way of the fabric."""
+        self._send(segment, self._fabric)
+
+    def to_instance(self, member: Member, datagram: bytes) -> None:
+        """Send a tunnel datagram to another instance."""
+        self._send(datagram, (member.address, member.packet_port))
+
+    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._sendto(datagram, address)
+        except OSError:
+            self.dropped += 1
+
+
+class PacketProcess:
+    """Packet process.
+
+    Parameters
+    ----------
+    cfg : InstanceSettings
+        Checked settings.
+    log : EventLog
+        Where events are logged.
+    """
+
+    def __init__(self, cfg: InstanceSettings, log: EventLog) -> None:
+        self._cfg = cfg
+        self._log = log
+        self._stopped = Event()
+        self._received_s = time.monotonic()
+        self._greenlets: list[gevent.Greenlet] = []
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        identity = Member(
+            cfg.instance.name,
+            cfg.instance.zone,
+            cfg.instance.address,
+            cfg.packet.port,
+            cfg.control.port,
+        )
+        fabric = (cfg.packet.fabric_address, cfg.packet.fabric_port)
+        self._outbox = SocketOutbox(self._sock, fabric)
+        self.engine = PacketEngine(
+            identity,
+            self._outbox,
+            cfg.limits,
+            random.Random(),
+        )
+        self._link = ControlLinkServer(
+            cfg.packet.link_port,
+            self._on_message,
+            self._report,
+        )
+
+    def start(self) -> None:
+        """Bind the sockets and start to serve."""
+        sock = self._sock
+        sock.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
+        sock.bind((self._cfg.instance.address, self._cfg.packet.port))
+        self._link.start()
+        self._greenlets = [
+            gevent.spawn(self._receive),
+            gevent.spawn(self._run_timers),
+        ]
+        self._log.event(
+            'packet_process_started',
+            instance=self._cfg.instance.name,
+            zone=self._cfg.instance.zone,
+            port=self._cfg.packet.port,
+        )
+
+    def wait(self) -> None:
+        """Wait for `stop`, then until no flow depends on this process."""
+        self._stopped.wait()
+        asked_s = time.monotonic()
+        limit_s = self._cfg.limits.drain_limit_s
+        while time.monotonic() - asked_s < limit_s:
+            if self._is_drained(asked_s):
+                break
+            gevent.sleep(_DRAIN_POLL_S)
+        self._log.event(
+            'drained',
+            complete=self._is_drained(asked_s),
+            waited_s=round(time.monotonic() - asked_s, 1),
+            home_flows=self._open_flows(),
+        )
+
+    def stop(self) -> None:
+        """Begin the graceful shutdown."""
+        self._stopped.set()
+
+    def close(self) -> None:
+        """Stop serving and release the sockets."""
+        gevent.killall(self._greenlets)
+        self._link.close()
+        self._sock.close()
+        self._log.event(
+            'packet_process_stopped',
+            instance=self._cfg.instance.name,
+        )
+
+    def _open_flows(self) -> int:
+        state = self.engine.state
+        return len(state.streams) + len(state.requests)
+
+    def _is_drained(self, asked_s: float) -> bool:
+        """Tell whether flows go on without this process.
+
+        The fabric's list of instances lags, so the process serves until the
+        fabric has sent nothing for a while. Peers take over the flows; a
+        process without peers waits for its flows to end.
+        """
+        quiet_since_s = max(self._received_s, asked_s)
+        is_quiet = time.monotonic() - quiet_since_s > _QUIET_S
+        if self.engine.state.peers:
+            return is_quiet and self.engine.copier.is_idle
+        return not self._open_flows()
+
+    def _receive(self) -> None:
+        hub = get_hub()
+        watcher = hub.loop.io(self._sock.fileno(), _READ)
+        with closing(watcher):
+            while True:
+                hub.wait(watcher)
+                self._receive_burst()
+
+    def _receive_burst(self) -> None:
+        recv = self._sock.recv
+        on_segment = self.engine.on_segment
+        now_s = time.monotonic()
+        for _ in range(_BURST):
+            try:
+                datagram = recv(_MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            if datagram[:1] == _TUNNEL_MARK:
+                self.engine.on_tunnel(datagram, now_s)
+            else:
+                self._received_s = now_s
+                on_segment(datagram, now_s)
+
+    def _run_timers(self) -> None:
+        while True:
+            gevent.sleep(_TIMER_PERIOD_S)
+            self.engine.on_timer(time.monotonic())
+
+    def _apply_snapshot(self, snapshot: RoutingSnapshot) -> None:
+        earlier = self.engine.state.generation
+        self.engine.apply_snapshot(snapshot, time.monotonic())
+        self._log.event(
+            'snapshot_applied',
+            generation=snapshot.generation,
+            earlier=earlier,
+            members=len(snapshot.members),
+        )
+
+    def _on_message(self, message: SnapshotMessage | Keepalive) -> None:
+        if isinstance(message, SnapshotMessage):
+            self._apply_snapshot(message.snapshot)
+            return
+        self.engine.note_zone_sight(message.zone_sight_s, time.monotonic())
+
+    def _report(self) -> CounterReport:
+        state = self.engine.state
+        home_flows = self._open_flows()
+        is_idle = self.engine.copier.is_idle
+        counters = {
+            **self.engine.counters().as_dict(),
+            'home_flows': home_flows,
+            'learned_flows': len(state.learned),
+            'entries_to_copy': 0 if is_idle else max(1, home_flows),
+            'socket_drops': self._outbox.dropped,
+        }
+        return CounterReport(state.generation, counters)
+
+
+_TUNNEL_MARK: Final = bytes((TUNNEL_VERSION,))
+
+
+def _run(settings: str) -> None:
+    """Run the packet process of an instance.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the TOML settings file.
+    """
+    cfg = read_settings(settings, InstanceSettings)
+    process = PacketProcess(cfg, EventLog('packet'))
+    process.start()
+    gevent.signal_handler(signal.SIGTERM, process.stop)
+    gevent.signal_handler(signal.SIGINT, process.stop)
+    process.wait()
+    process.close()
+
+
+def main() -> None:
+    """Entry point of ``siskinproxy-packet``."""
+    monkey.patch_all()
+    run_or_exit(fire.Fire, _run)
+
+
+if __name__ == '__main__':
+    main()
--- a/siskinproxy/instances/placement.py
+++ b/siskinproxy/instances/placement.py
@@ -142,10 +142,12 @@
         return names, tuple(sorted(self.shard_counts.items()))
 
     def _rank(self, shard: ShardKey) -> tuple[Member, ...]:
-        salt = f'{shard.service}/{shard.index}/'
+        salt = f'{shard.service}/{shard.index}/'.encode()
         ranked = sorted(
             self.members,
-            key=lambda home: xxhash.xxh3_64_intdigest(salt + home.name),
+            key=lambda home: xxhash.xxh3_64_intdigest(
+                salt + home.name.encode()
+            ),
             reverse=True,
         )
         chosen: list[Member] = []
--- a/siskinproxy/instances/tunnel.py
+++ b/siskinproxy/instances/tunnel.py
@@ -96,7 +96,7 @@
 
 def member_id(name: str) -> int:
     """Return the 64-bit identifier of an instance name."""
-    return xxhash.xxh3_64_intdigest(name)
+    return xxhash.xxh3_64_intdigest(name.encode())
 
 
 def encode(header: TunnelHeader, body: bytes = b'') -> bytes:
