--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -3,11 +3,20 @@
 from typing import Final
 
 __all__ = (
+    'EXIT_SETTINGS',
+    'AddressReuseError',
+    'BuilderError',
     'ConfigurationError',
+    'DuplicateListenerError',
+    'DuplicateNameError',
+    'EmptyServiceError',
+    'InvalidAddressError',
+    'InvalidNameError',
     'InvariantViolation',
     'LeaseLostError',
     'SegmentFormatError',
     'SettingsError',
+    'SharedTargetPortError',
     'SiskinproxyError',
     'StoreConflictError',
     'StoreError',
@@ -15,8 +24,12 @@
     'StoreRateLimitError',
     'StoreUnavailableError',
     'TunnelFormatError',
+    'UnknownTargetError',
+    'UnknownZoneError',
+    'ValueRangeError',
 )
 
+#: Exit code of a process whose settings are wrong.
 EXIT_SETTINGS: Final = 2
 
 
@@ -53,6 +66,228 @@
     """A configuration breaks a rule; subclasses name the rule."""
 
 
+class BuilderError(ConfigurationError):
+    """A builder got a value of the wrong type or an unknown mode.
+
+    Parameters
+    ----------
+    kind : str
+        What was declared, such as ``listener``.
+    detail : str
+        Expected and found value with the name of the field.
+    """
+
+    def __init__(self, kind: str, detail: str) -> None:
+        super().__init__(f'kind={kind} detail="{detail}"')
+        self.kind = kind
+        self.detail = detail
+
+
+class InvalidNameError(ConfigurationError):
+    """A name is empty, too long or has characters that are not allowed.
+
+    Parameters
+    ----------
+    kind : str
+        ``region``, ``zone``, ``service``, ``target`` or ``listener``.
+    name : str
+        Name as declared.
+    """
+
+    def __init__(self, kind: str, name: str) -> None:
+        super().__init__(f'kind={kind} name={name!r}')
+        self.kind = kind
+        self.name = name
+
+
+class DuplicateNameError(ConfigurationError):
+    """Two zones, services or targets have the same name.
+
+    Parameters
+    ----------
+    kind : str
+        ``zone``, ``service`` or ``target``.
+    name : str
+        Name that is declared more than once.
+    """
+
+    def __init__(self, kind: str, name: str) -> None:
+        super().__init__(f'kind={kind} name={name}')
+        self.kind = kind
+        self.name = name
+
+
+class DuplicateListenerError(ConfigurationError):
+    """Two listeners have the same address and port.
+
+    Parameters
+    ----------
+    address : str
+        Service address.
+    port : int
+        Port of the service address.
+    """
+
+    def __init__(self, address: str, port: int) -> None:
+        super().__init__(f'address={address} port={port}')
+        self.address = address
+        self.port = port
+
+
+class SharedTargetPortError(ConfigurationError):
+    """A target address and port serves more than one listener or target.
+
+    Parameters
+    ----------
+    address : str
+        Target address.
+    port : int
+        Target port.
+    owners : tuple of str
+        ``service/listener/target`` of each use, the listener as
+        ``address:port``.
+    """
+
+    def __init__(
+        self, address: str, port: int, owners: tuple[str, ...]
+    ) -> None:
+        super().__init__(
+            f'address={address} port={port} owners={",".join(owners)}',
+        )
+        self.address = address
+        self.port = port
+        self.owners = owners
+
+
+class UnknownZoneError(ConfigurationError):
+    """A zone is not declared.
+
+    Parameters
+    ----------
+    zone : str
+        Zone as named.
+    target : str
+        Target that names the zone; empty if no target is concerned.
+    """
+
+    def __init__(self, zone: str, target: str = '') -> None:
+        super().__init__(f'zone={zone} target={target}')
+        self.zone = zone
+        self.target = target
+
+
+class UnknownTargetError(ConfigurationError):
+    """A target is not declared.
+
+    Parameters
+    ----------
+    target : str
+        Target as named.
+    """
+
+    def __init__(self, target: str) -> None:
+        super().__init__(f'target={target}')
+        self.target = target
+
+
+class EmptyServiceError(ConfigurationError):
+    """A service has no listeners or no targets.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    missing : {'listeners', 'targets'}
+        What the service lacks.
+    """
+
+    def __init__(self, service: str, missing: str) -> None:
+        super().__init__(f'service={service} missing={missing}')
+        self.service = service
+        self.missing = missing
+
+
+class InvalidAddressError(ConfigurationError):
+    """An address is not the dotted IPv4 address of a host.
+
+    Parameters
+    ----------
+    owner : str
+        Listener or target, such as ``target desk-1``.
+    address : str
+        Address as declared.
+    """
+
+    def __init__(self, owner: str, address: str) -> None:
+        super().__init__(f'owner="{owner}" address={address!r}')
+        self.owner = owner
+        self.address = address
+
+
+class ValueRangeError(ConfigurationError):
+    """A port or limit is outside its bounds.
+
+    Parameters
+    ----------
+    owner : str
+        Listener or target, such as ``target desk-1``.
+    field : str
+        Name of the field.
+    found : float
+        Value as declared.
+    bounds : tuple of float
+        Lowest and highest value that is allowed.
+    """
+
+    def __init__(
+        self,
+        owner: str,
+        field: str,
+        found: float,
+        bounds: tuple[float, float],
+    ) -> None:
+        super().__init__(
+            f'owner="{owner}" field={field} found={found} '
+            f'minimum={bounds[0]} maximum={bounds[1]}',
+        )
+        self.owner = owner
+        self.field = field
+        self.found = found
+        self.bounds = bounds
+
+
+class AddressReuseError(ConfigurationError):
+    """An address is declared for another service too early.
+
+    Parameters
+    ----------
+    address : str
+        Target address.
+    service : str
+        Service that declares the address now.
+    previous_service : str
+        Service whose flows may still use the address.
+    remaining_s : int
+        Time until the address may be declared, in seconds.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        service: str,
+        previous_service: str,
+        remaining_s: int,
+    ) -> None:
+        super().__init__(
+            f'address={address} service={service} '
+            f'previous_service={previous_service} remaining_s={remaining_s}',
+        )
+        self.address = address
+        self.service = service
+        self.previous_service = previous_service
+        self.remaining_s = remaining_s
+
+
 class SegmentFormatError(SiskinproxyError):
     """A datagram does not hold an IPv4 packet with a TCP segment."""
 
--- /dev/null
+++ b/siskinproxy/operators/validation.py
@@ -0,0 +1,354 @@
+"""Rules that a configuration must keep before it is accepted."""
+
+import ipaddress
+import re
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+from siskinproxy.errors import (
+    AddressReuseError,
+    ConfigurationError,
+    DuplicateListenerError,
+    DuplicateNameError,
+    EmptyServiceError,
+    InvalidAddressError,
+    InvalidNameError,
+    SharedTargetPortError,
+    UnknownZoneError,
+    ValueRangeError,
+)
+from siskinproxy.operators.configuration import (
+    Configuration,
+    Listener,
+    Service,
+    Target,
+)
+
+__all__ = (
+    'ADDRESS_REUSE_DELAY_S',
+    'LISTENER_BOUNDS',
+    'TARGET_BOUNDS',
+    'is_host_address',
+    'raise_if_invalid',
+    'validate',
+)
+
+#: Flows to a removed target stay allowed for this time. Until it has passed,
+#: the address may not serve another service.
+ADDRESS_REUSE_DELAY_S: Final = 3600
+
+#: Lowest and highest value by field name.
+Bounds = Mapping[str, tuple[float, float]]
+
+_PORTS: Final = (1, 65535)
+
+#: Lowest and highest value of the numeric fields of a listener.
+LISTENER_BOUNDS: Final[Bounds] = MappingProxyType(
+    {
+        'port': _PORTS,
+        'target_port': _PORTS,
+        'priority': (0, 7),
+        'deadline_ms': (1, 600_000),
+    }
+)
+
+#: Lowest and highest value of the numeric fields of a target.
+TARGET_BOUNDS: Final[Bounds] = MappingProxyType(
+    {
+        'slots': (1, 10_000),
+        'connections': (1, 1_000_000),
+        'warmup_s': (0, 3600),
+    }
+)
+
+# The region is part of store keys and all names appear in log lines and
+# metric labels, so separators and white space are excluded.
+_NAME: Final = re.compile(r'\w[\w.-]{0,62}')
+_BROADCAST: Final = ipaddress.IPv4Address('255.255.255.255')
+
+
+class _Endpoint(NamedTuple):
+    address: str
+    port: int
+
+
+class _Claim(NamedTuple):
+    """Hold of a service on an address, from the previous configuration."""
+
+    service: str
+    address: str
+    zone: str
+    ports: frozenset[int]
+    remaining_s: int
+
+
+class _Ports(NamedTuple):
+    """Target ports of a service on one address, now and before."""
+
+    declared: frozenset[int]
+    before: frozenset[int]
+
+
+def is_host_address(text: str) -> bool:
+    """Tell whether a text is the dotted IPv4 address of a host.
+
+    Parameters
+    ----------
+    text : str
+        Text to check.
+
+    Returns
+    -------
+    bool
+        False for the unspecified, broadcast and multicast addresses too.
+    """
+    try:
+        address = ipaddress.IPv4Address(text)
+    except ipaddress.AddressValueError:
+        return False
+    reserved = address.is_unspecified or address.is_multicast
+    return not reserved and address != _BROADCAST
+
+
+def validate(
+    cfg: Configuration,
+    previous: Configuration | None = None,
+    now_unix_s: int = 0,
+    address_reuse_delay_s: int = ADDRESS_REUSE_DELAY_S,
+) -> tuple[ConfigurationError, ...]:
+    """Check a configuration against all rules.
+
+    Parameters
+    ----------
+    cfg : Configuration
+        Configuration to check.
+    previous : Configuration, optional
+        Configuration that is in effect; needed for the reuse of addresses.
+    now_unix_s : int
+        Current time in seconds since the Unix epoch. With the default all
+        retired targets count as recent.
+    address_reuse_delay_s : int
+        Time for which a retired target's address stays with its service, in
+        seconds.
+
+    Returns
+    -------
+    tuple of ConfigurationError
+        One error for each broken rule and place, empty if there is none.
+    """
+    found = [
+        *_check_names(cfg),
+        *_check_listeners(cfg),
+        *_check_targets(cfg),
+        *_check_services(cfg),
+        *_check_endpoints(cfg),
+    ]
+    if previous is not None:
+        claims = _claims(previous, now_unix_s, address_reuse_delay_s)
+        found.extend(_check_reuse(cfg, previous, claims))
+    return tuple(found)
+
+
+def raise_if_invalid(
+    cfg: Configuration,
+    previous: Configuration | None = None,
+    now_unix_s: int = 0,
+    address_reuse_delay_s: int = ADDRESS_REUSE_DELAY_S,
+) -> None:
+    """Raise all errors of a configuration at once.
+
+    Parameters
+    ----------
+    cfg : Configuration
+        Configuration to check.
+    previous : Configuration, optional
+        Configuration that is in effect.
+    now_unix_s : int
+        Current time in seconds since the Unix epoch.
+    address_reuse_delay_s : int
+        See `validate`.
+
+    Raises
+    ------
+    ExceptionGroup
+        Holds one `ConfigurationError` for each broken rule and place.
+    """
+    found = validate(cfg, previous, now_unix_s, address_reuse_delay_s)
+    if found:
+        raise ExceptionGroup('configuration is invalid', found)
+
+
+def _check_names(cfg: Configuration) -> Iterator[ConfigurationError]:
+    if not _NAME.fullmatch(cfg.region):
+        yield InvalidNameError('region', cfg.region)
+    yield from _check_kind('zone', [zone.name for zone in cfg.zones])
+    yield from _check_kind('service', [each.name for each in cfg.services])
+    yield from _check_kind(
+        'target',
+        [target.name for _, target in _targets(cfg)],
+    )
+    for _, listener in _listeners(cfg):
+        if listener.name and not _NAME.fullmatch(listener.name):
+            yield InvalidNameError('listener', listener.name)
+
+
+def _check_kind(
+    kind: str,
+    names: Iterable[str],
+) -> Iterator[ConfigurationError]:
+    for name, count in Counter(names).items():
+        if not _NAME.fullmatch(name):
+            yield InvalidNameError(kind, name)
+        if count > 1:
+            yield DuplicateNameError(kind, name)
+
+
+def _check_listeners(cfg: Configuration) -> Iterator[ConfigurationError]:
+    addresses = Counter(
+        (listener.address, listener.port) for _, listener in _listeners(cfg)
+    )
+    for (address, port), count in addresses.items():
+        if count > 1:
+            yield DuplicateListenerError(address, port)
+    for _, listener in _listeners(cfg):
+        owner = f'listener {listener.address}:{listener.port}'
+        yield from _check_fields(owner, listener, LISTENER_BOUNDS)
+
+
+def _check_targets(cfg: Configuration) -> Iterator[ConfigurationError]:
+    zones = {zone.name for zone in cfg.zones}
+    for _, target in _targets(cfg):
+        owner = f'target {target.name}'
+        yield from _check_fields(owner, target, TARGET_BOUNDS)
+        if target.zone not in zones:
+            yield UnknownZoneError(target.zone, target.name)
+
+
+def _check_fields(
+    owner: str,
+    declared: Listener | Target,
+    bounds: Bounds,
+) -> Iterator[ConfigurationError]:
+    if not is_host_address(declared.address):
+        yield InvalidAddressError(owner, declared.address)
+    for field, (lowest, highest) in bounds.items():
+        found = getattr(declared, field)
+        # The negated form also rejects NaN, which compares as False.
+        if not lowest <= found <= highest:
+            yield ValueRangeError(owner, field, found, (lowest, highest))
+
+
+def _check_services(cfg: Configuration) -> Iterator[ConfigurationError]:
+    for service in cfg.services:
+        if not service.listeners:
+            yield EmptyServiceError(service.name, 'listeners')
+        if not service.targets:
+            yield EmptyServiceError(service.name, 'targets')
+
+
+def _check_endpoints(cfg: Configuration) -> Iterator[ConfigurationError]:
+    # The source of a response is translated back by its address and port
+    # alone, so each pair must identify one listener and one target.
+    owners: dict[_Endpoint, list[str]] = defaultdict(list)
+    for service in cfg.services:
+        for listener in service.listeners:
+            shown = f'{service.name}/{listener.address}:{listener.port}'
+            for target in service.targets:
+                endpoint = _Endpoint(target.address, listener.target_port)
+                owners[endpoint].append(f'{shown}/{target.name}')
+    for endpoint, uses in owners.items():
+        if len(uses) > 1:
+            yield SharedTargetPortError(*endpoint, owners=tuple(uses))
+
+
+def _claims(
+    previous: Configuration,
+    now_unix_s: int,
+    address_reuse_delay_s: int,
+) -> Iterator[_Claim]:
+    for service, target in _targets(previous):
+        yield _Claim(
+            service.name,
+            target.address,
+            target.zone,
+            _target_ports(service),
+            address_reuse_delay_s,
+        )
+    for retired in previous.retired:
+        elapsed_s = now_unix_s - retired.retired_unix_s
+        yield _Claim(
+            retired.service,
+            retired.target.address,
+            retired.target.zone,
+            frozenset(retired.ports),
+            address_reuse_delay_s - max(elapsed_s, 0),
+        )
+
+
+def _check_reuse(
+    cfg: Configuration,
+    previous: Configuration,
+    claims: Iterable[_Claim],
+) -> Iterator[ConfigurationError]:
+    # A zone must be out of service in the configuration that is in effect:
+    # one taken out by this very change still receives packets.
+    excluded = {zone.name for zone in previous.zones if not zone.in_service}
+    by_address: dict[str, list[_Claim]] = defaultdict(list)
+    for claim in claims:
+        if claim.remaining_s > 0 and claim.zone not in excluded:
+            by_address[claim.address].append(claim)
+    kept = _held_ports(previous)
+    current = _held_ports(cfg)
+    for holder, ports in current.items():
+        name, address = holder
+        added = _Ports(ports, kept.get(holder, frozenset()))
+        blocking: dict[str, int] = {}
+        for held in by_address.get(address, ()):
+            if held.service != name and _is_blocked(held, added, current):
+                longest_s = blocking.get(held.service, 0)
+                blocking[held.service] = max(longest_s, held.remaining_s)
+        for other, remaining_s in blocking.items():
+            yield AddressReuseError(address, name, other, remaining_s)
+
+
+def _is_blocked(
+    claim: _Claim,
+    ports: _Ports,
+    current: Mapping[tuple[str, str], frozenset[int]],
+) -> bool:
+    """Tell whether a claim forbids a service the use of these ports.
+
+    Two services may share an address with different ports, as long as both
+    keep it. The ports of the claim are forbidden in any case.
+    """
+    if claim.ports & (ports.declared - ports.before):
+        return True
+    is_shared = (claim.service, claim.address) in current
+    return not ports.before and not is_shared
+
+
+def _held_ports(
+    cfg: Configuration,
+) -> dict[tuple[str, str], frozenset[int]]:
+    return {
+        (service.name, target.address): _target_ports(service)
+        for service, target in _targets(cfg)
+    }
+
+
+def _target_ports(service: Service) -> frozenset[int]:
+    return frozenset(listener.target_port for listener in service.listeners)
+
+
+def _targets(cfg: Configuration) -> Iterator[tuple[Service, Target]]:
+    for service in cfg.services:
+        for target in service.targets:
+            yield service, target
+
+
+def _listeners(cfg: Configuration) -> Iterator[tuple[Service, Listener]]:
+    for service in cfg.services:
+        for listener in service.listeners:
+            yield service, listener
