--- /dev/null
+++ b/siskinproxy/balancer/logs.py
@@ -0,0 +1,133 @@
+"""Log set-up: one line of key=value pairs per event on stderr."""
+
+import json
+import sys
+from typing import Any, Final, TextIO
+
+import logbook
+
+__all__ = ('EventLog', 'format_pairs', 'set_up_logs')
+
+_TIME_FORMAT: Final = '%Y-%m-%dT%H:%M:%S.%fZ'
+_QUOTED: Final = frozenset(' "=\\')
+
+
+class EventLog:
+    """Log of one component.
+
+    Parameters
+    ----------
+    component : str
+        Name of the process or module that logs.
+    **context : object
+        Pairs that are added to every line, such as ``instance``.
+    """
+
+    def __init__(self, component: str, /, **context: Any) -> None:
+        self._logger = logbook.Logger(component)
+        self._context = context
+
+    def event(self, name: str, /, **pairs: Any) -> None:
+        """Log an event of normal operation.
+
+        Parameters
+        ----------
+        name : str
+            Name of the event, such as ``config_applied``.
+        **pairs : object
+            Further keys and values.
+        """
+        self._log(logbook.INFO, name, pairs)
+
+    def warning(self, name: str, /, **pairs: Any) -> None:
+        """Log an event that operators may have to act on.
+
+        Parameters
+        ----------
+        name : str
+            Name of the event.
+        **pairs : object
+            Further keys and values.
+        """
+        self._log(logbook.WARNING, name, pairs)
+
+    def error(self, name: str, /, **pairs: Any) -> None:
+        """Log a failure.
+
+        Parameters
+        ----------
+        name : str
+            Name of the event.
+        **pairs : object
+            Further keys and values.
+        """
+        self._log(logbook.ERROR, name, pairs)
+
+    def _log(self, level: int, name: str, pairs: dict[str, Any]) -> None:
+        # Passed without arguments, so that logbook leaves braces unchanged.
+        line = format_pairs({'event': name, **self._context, **pairs})
+        self._logger.log(level, line)
+
+
+def set_up_logs(
+    stream: TextIO | None = None,
+    level: str = 'INFO',
+) -> logbook.StreamHandler:
+    """Send the events of all logs of the process to a stream.
+
+    Parameters
+    ----------
+    stream : file, optional
+        Stream to write to; stderr by default.
+    level : str
+        Lowest level that is written.
+
+    Returns
+    -------
+    logbook.StreamHandler
+        Handler; its ``pop_application`` ends the output.
+    """
+    handler = logbook.StreamHandler(
+        sys.stderr if stream is None else stream,
+        level=level,
+    )
+    handler.formatter = _format_record
+    handler.push_application()
+    return handler
+
+
+def format_pairs(pairs: dict[str, Any]) -> str:
+    """Format pairs as ``key=value`` separated by spaces.
+
+    Parameters
+    ----------
+    pairs : dict of str to object
+        Keys and values. Empty values and values with spaces, quotes, equals
+        signs or control characters are quoted as JSON strings.
+
+    Returns
+    -------
+    str
+        One line.
+    """
+    return ' '.join(f'{key}={_format(value)}' for key, value in pairs.items())
+
+
+def _format_record(record: logbook.LogRecord, handler: Any) -> str:
+    head = {
+        'time': record.time.strftime(_TIME_FORMAT),
+        'level': record.level_name.lower(),
+        'component': record.channel,
+    }
+    return f'{format_pairs(head)} {record.message}'
+
+
+def _format(value: Any) -> str:
+    if value is None or isinstance(value, bool):
+        return str(value).lower()
+    text = str(value)
+    if not text.isprintable():
+        return json.dumps(text)
+    if not text or _QUOTED.intersection(text):
+        return json.dumps(text, ensure_ascii=False)
+    return text
