--- a/siskinproxy/balancer/__init__.py
+++ b/siskinproxy/balancer/__init__.py
@@ -1,5 +1,21 @@
 """Processes of an instance and the state that they exchange."""
 
+from siskinproxy.balancer.logs import EventLog, set_up_logs
+from siskinproxy.balancer.settings import (
+    InstanceSettings,
+    Limits,
+    read_settings,
+    run_or_exit,
+)
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
 
-__all__ = ('Member', 'RoutingSnapshot')
+__all__ = (
+    'EventLog',
+    'InstanceSettings',
+    'Limits',
+    'Member',
+    'RoutingSnapshot',
+    'read_settings',
+    'run_or_exit',
+    'set_up_logs',
+)
