--- a/siskinproxy/instances/configuration_transfer.py
+++ b/siskinproxy/instances/configuration_transfer.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
+from siskinproxy.instances.blobs import BlobShelf, PartialBlob
 from siskinproxy.instances.dissemination import TokenBucket
 from siskinproxy.instances.gossip import (
     CHUNK_BYTES,
@@ -41,9 +42,6 @@
 BUSY_S: Final = 0.2
 UNRESPONSIVE_S: Final = 1.0
 
-#: Largest value in the store.
-MAX_BLOB_BYTES: Final = 1_000_000
-
 #: Header, digest and UDP overhead of a request or a chunk.
 _MESSAGE_BYTES: Final = 150
 
@@ -136,13 +134,13 @@
             now_s,
         )
         self._generation = 0
-        self._blobs: dict[bytes, bytes] = {}
+        self._shelf = BlobShelf()
         self._offers: dict[str, _Offer] = {}
         self._avoid_until_s: dict[str, float] = {}
         self._rejected: set[bytes] = set()
         self._target: _Offer | None = None
         self._fetched: dict[bytes, bytes] = {}
-        self._partial: dict[bytes, bytearray] = {}
+        self._partial: dict[bytes, PartialBlob] = {}
         self._request: _Request | None = None
 
     @property
@@ -168,7 +166,7 @@
             Encoded sections by digest.
         """
         self._generation = generation
-        self._blobs = {self._digest_of(head): head, **sections}
+        self._shelf.replace(self._digest_of(head), head, sections)
         if self._target and self._target.generation <= generation:
             self._drop_target()
 
@@ -259,10 +257,10 @@
     ) -> Send:
         record = message.header.record
         address = (record.address, record.control_port)
-        blob = self._blobs.get(message.digest)
-        if blob is None:
+        form = self._shelf.transfer_form(message.digest, message.base)
+        if form is None:
             return Send(address, BlobBusy(header, message.digest, True))
-        chunk = blob[message.offset : message.offset + CHUNK_BYTES]
+        chunk = form.data[message.offset : message.offset + CHUNK_BYTES]
         cost_bytes = len(chunk) + _MESSAGE_BYTES * 2
         if not self._budget.take(cost_bytes, now_s):
             return Send(address, BlobBusy(header, message.digest))
@@ -270,8 +268,9 @@
             header,
             message.digest,
             message.offset,
-            len(blob),
+            len(form.data),
             chunk,
+            form.base,
         )
         return Send(address, answer)
 
@@ -300,15 +299,15 @@
         if not self._answers(message.digest, peer, message.offset):
             return TransferStep()
         self._request = None
-        partial = self._partial.setdefault(message.digest, bytearray())
-        partial.extend(message.chunk)
-        if not message.chunk or message.size_bytes > MAX_BLOB_BYTES:
+        partial = self._partial.setdefault(message.digest, PartialBlob())
+        if not partial.append(message.offset, message.base, message.chunk):
             return self._discard(message.digest, peer, now_s)
-        if len(partial) < message.size_bytes:
+        if len(partial.data) < message.size_bytes:
             return self._continue(header, now_s)
-        blob = bytes(self._partial.pop(message.digest))
-        if self._digest_of(blob) != message.digest:
+        blob = self._shelf.restore(partial.form())
+        if blob is None or self._digest_of(blob) != message.digest:
             return self._discard(message.digest, peer, now_s)
+        self._partial.pop(message.digest)
         self._fetched[message.digest] = blob
         return self._continue(header, now_s)
 
@@ -365,7 +364,7 @@
         if head is None:
             return target.head_digest
         for digest in self._sections_of(head):
-            if digest not in self._blobs and digest not in self._fetched:
+            if digest not in self._shelf and digest not in self._fetched:
                 return digest
         return None
 
@@ -382,9 +381,12 @@
         cost_bytes = CHUNK_BYTES + _MESSAGE_BYTES * 2
         if not self._budget.take(cost_bytes, now_s):
             return TransferStep()
-        offset = len(self._partial.get(digest, b''))
+        partial = self._partial.get(digest)
+        offset = len(partial.data) if partial else 0
         self._request = _Request(digest, offset, peer, now_s)
-        message = BlobRequest(header, digest, offset)
+        is_head = digest == target.head_digest
+        base = self._shelf.head_digest if is_head else b''
+        message = BlobRequest(header, digest, offset, base)
         return TransferStep((Send(self._offers[peer].address, message),))
 
     def _select_peer(self, target: _Offer, now_s: float) -> str | None:
@@ -399,7 +401,7 @@
     def _complete(self, target: _Offer) -> TransferStep:
         head = self._fetched[target.head_digest]
         sections = {
-            digest: self._fetched.get(digest) or self._blobs[digest]
+            digest: self._fetched.get(digest) or self._shelf[digest]
             for digest in self._sections_of(head)
         }
         fetched = FetchedConfiguration(
--- a/siskinproxy/instances/gossip.py
+++ b/siskinproxy/instances/gossip.py
@@ -189,19 +189,47 @@
 
 
 class BlobRequest(_Message, frozen=True, array_like=True, tag='q'):
-    """Asks for a chunk of the head or a section, named by its digest."""
+    """Asks for a chunk of the head or a section, named by its digest.
+
+    Parameters
+    ----------
+    digest : bytes
+        Digest of the whole blob.
+    offset : int
+        Position of the chunk in the transferred form.
+    base : bytes
+        Digest of a blob that the sender has, against which the answer may
+        be compressed; empty for none.
+    """
 
     digest: bytes
     offset: int
+    base: bytes = b''
 
 
 class BlobChunk(_Message, frozen=True, array_like=True, tag='c'):
-    """Chunk of the head or of a section."""
+    """Chunk of the head or of a section.
+
+    Parameters
+    ----------
+    digest : bytes
+        Digest of the whole blob.
+    offset : int
+        Position of the chunk in the transferred form.
+    size_bytes : int
+        Size of the transferred form.
+    chunk : bytes
+        Part of the transferred form.
+    base : bytes
+        Digest of the blob that the transferred form is compressed against;
+        empty if it is the blob itself.
+    """
 
     digest: bytes
     offset: int
     size_bytes: int
     chunk: bytes
+    base: bytes = b''
 
 
 class BlobBusy(_Message, frozen=True, array_like=True, tag='b'):
--- a/siskinproxy/instances/tests/test_configuration.py
+++ b/siskinproxy/instances/tests/test_configuration.py
@@ -95,6 +95,7 @@
                     answer.offset,
                     answer.size_bytes,
                     b'x' * len(answer.chunk),
+                    answer.base,
                 )
             step = client.on_message(answer, own, now_s)
         if step.fetched:
@@ -145,6 +146,34 @@
     assert wanted == {digest_of(head)} | (set(sections) - set(old_sections))
 
 
+def test_head_is_compressed_against_the_head_of_the_receiver():
+    """Guards the byte budget: successive heads differ in a few bytes."""
+    old_head, old_sections = make_blobs(4, count=200)
+    servers, headers, head, sections = make_servers(['s'], 5, count=200)
+    client = make_transfer()
+    client.adopt(4, old_head, old_sections)
+    servers['s'] = make_transfer()
+    servers['s'].adopt(4, old_head, old_sections)
+    servers['s'].adopt(5, head, sections)
+    client.on_header(headers['s'])
+    fetched, sent, _ = exchange(client, servers, headers, 5)
+    assert fetched.head == head
+    assert len(head) > 1600
+    assert len(sent) == 1
+
+
+def test_unknown_base_falls_back_to_the_whole_head():
+    """Guards an instance that missed more changes than peers remember."""
+    old_head, old_sections = make_blobs(4, count=200)
+    servers, headers, head, _ = make_servers(['s'], 5, count=200)
+    client = make_transfer()
+    client.adopt(4, old_head, old_sections)
+    client.on_header(headers['s'])
+    fetched, sent, _ = exchange(client, servers, headers, 5)
+    assert fetched.head == head
+    assert len(sent) == 2
+
+
 def test_wrong_digest_is_retried_with_another_peer():
     """Guards against applying bytes that do not match their digest."""
     servers, headers, head, _ = make_servers(['bad', 'good'])
