--- /dev/null
+++ b/siskinproxy/balancer/control_engine.py
@@ -0,0 +1,459 @@
+"""Decisions of the control process, without sockets and clocks.
+
+Combines membership, configuration transfer and the configuration in force,
+and derives the routing snapshot for the packet process.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, NamedTuple
+
+from siskinproxy.balancer.control_link import Keepalive
+from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
+from siskinproxy.errors import (
+    GossipFormatError,
+    InvariantViolation,
+    SiskinproxyError,
+)
+from siskinproxy.instances.configuration_state import (
+    ConfigurationInForce,
+    ConfigurationState,
+)
+from siskinproxy.instances.configuration_transfer import (
+    ConfigurationTransfer,
+    FetchedConfiguration,
+    TransferStep,
+)
+from siskinproxy.instances.gossip import (
+    UDP_OVERHEAD_BYTES,
+    decode_message,
+    encode_message,
+)
+from siskinproxy.instances.member_table import Change
+from siskinproxy.instances.membership import Membership, Send, Step
+from siskinproxy.instances.probes import Address
+from siskinproxy.instances.reachability import REACHABLE_S
+from siskinproxy.operators.configuration import Configuration
+
+__all__ = (
+    'ConfigurationCodec',
+    'ControlEngine',
+    'ControlEvent',
+    'ControlStep',
+    'Datagram',
+)
+
+#: The platform's list is read again when a zone was not heard from this long.
+SUSPICIOUS_SIGHT_S: Final = 1.5
+
+
+class ConfigurationCodec(NamedTuple):
+    """Functions that interpret heads and sections.
+
+    Parameters
+    ----------
+    digest_of : callable
+        Returns the digest of a head or section.
+    sections_of : callable
+        Returns the digests of the sections that a head names.
+    assemble : callable
+        Returns generation and configuration for a head and its sections.
+    """
+
+    digest_of: Callable[[bytes], bytes]
+    sections_of: Callable[[bytes], Iterable[bytes]]
+    assemble: Callable[
+        [bytes, Mapping[bytes, bytes]],
+        tuple[int, Configuration],
+    ]
+
+
+class Datagram(NamedTuple):
+    """Encoded message and the address of its receiver."""
+
+    address: Address
+    payload: bytes
+
+
+class ControlEvent(NamedTuple):
+    """Event for the log and the metrics.
+
+    Parameters
+    ----------
+    name : str
+        Name of the event.
+    pairs : dict of str to object
+        Further keys and values.
+    """
+
+    name: str
+    pairs: dict[str, object]
+
+
+class ControlStep(NamedTuple):
+    """Result of one input.
+
+    Parameters
+    ----------
+    datagrams : tuple of Datagram
+        Datagrams to send.
+    events : tuple of ControlEvent
+        What happened.
+    snapshot : RoutingSnapshot or None
+        New snapshot for the packet process.
+    """
+
+    datagrams: tuple[Datagram, ...] = ()
+    events: tuple[ControlEvent, ...] = ()
+    snapshot: RoutingSnapshot | None = None
+
+
+class ControlEngine:
+    """State of the control process.
+
+    Parameters
+    ----------
+    identity : Member
+        This instance.
+    codec : ConfigurationCodec
+        Interprets heads and sections.
+    rng : random.Random
+        Source of all random choices.
+    seeds : tuple of (str, int)
+        Control addresses that are probed to join.
+    now_s : float
+        Time.
+    """
+
+    def __init__(
+        self,
+        identity: Member,
+        codec: ConfigurationCodec,
+        rng: random.Random,
+        seeds: tuple[Address, ...],
+        now_s: float,
+    ) -> None:
+        self.membership = Membership(identity, rng, seeds, now_s)
+        self.configuration = ConfigurationState()
+        self.transfer = ConfigurationTransfer(
+            rng,
+            codec.digest_of,
+            codec.sections_of,
+            now_s,
+        )
+        #: Bytes and messages, IP and UDP headers included.
+        self.traffic: Counter[str] = Counter()
+        self._codec = codec
+        self._packet_connected = False
+        self._snapshot_wanted = False
+        self._datagrams: list[Datagram] = []
+        self._events: list[ControlEvent] = []
+
+    def on_datagram(self, payload: bytes, now_s: float) -> ControlStep:
+        """Handle a datagram from another instance.
+
+        Parameters
+        ----------
+        payload : bytes
+            Payload of the datagram.
+        now_s : float
+            Time.
+
+        Returns
+        -------
+        ControlStep
+            Datagrams to send and events.
+        """
+        self.traffic['received_bytes'] += len(payload) + UDP_OVERHEAD_BYTES
+        self.traffic['received_messages'] += 1
+        try:
+            message = decode_message(payload)
+        except GossipFormatError as exc:
+            self.traffic['malformed_messages'] += 1
+            self._event('malformed_datagram', error=str(exc))
+            return self._finish()
+        self._apply_membership(self.membership.on_message(message, now_s))
+        if not self.membership.is_resuming(now_s):
+            header = self.membership.header(now_s)
+            step = self.transfer.on_message(message, header, now_s)
+            self._apply_transfer(step, now_s)
+        return self._finish()
+
+    def on_timer(self, now_s: float) -> ControlStep:
+        """Evaluate timeouts; to be called every 50 ms.
+
+        Parameters
+        ----------
+        now_s : float
+            Time.
+
+        Returns
+        -------
+        ControlStep
+            Datagrams to send, events and, after a change, a snapshot.
+        """
+        self._apply_membership(self.membership.on_timer(now_s))
+        header = self.membership.header(now_s)
+        self._apply_transfer(self.transfer.on_timer(header, now_s), now_s)
+        self._confirm(now_s)
+        snapshot = None
+        if self._snapshot_wanted:
+            snapshot = self.snapshot(now_s)
+        if snapshot is not None:
+            self._snapshot_wanted = False
+        return self._finish(snapshot)
+
+    def adopt_from_store(
+        self,
+        head: bytes,
+        sections: Mapping[bytes, bytes],
+        now_s: float,
+    ) -> ControlStep:
+        """Apply a configuration that was read from the store.
+
+        Parameters
+        ----------
+        head : bytes
+            Value of the head key.
+        sections : mapping of bytes to bytes
+            Encoded sections by digest.
+        now_s : float
+            Time at which the read was sent.
+
+        Returns
+        -------
+        ControlStep
+            Datagrams that announce the generation, and events.
+
+        Raises
+        ------
+        SiskinproxyError
+            If the head cannot be decoded, or the store reverted.
+        """
+        generation, cfg = self._codec.assemble(head, sections)
+        candidate = ConfigurationInForce(
+            generation,
+            self._codec.digest_of(head),
+            cfg,
+            provisional=False,
+            applied_s=now_s,
+        )
+        self._put_into_force(candidate, head, sections, now_s)
+        if generation >= self.configuration.generation:
+            self.membership.note_store_read(now_s)
+        return self._finish()
+
+    def note_store_read(self, generation: int, now_s: float) -> None:
+        """Note that a generation was still the one of the store.
+
+        Parameters
+        ----------
+        generation : int
+            Generation that the store holds.
+        now_s : float
+            Time at which the read was sent.
+        """
+        if generation <= self.configuration.generation:
+            self.membership.note_store_read(now_s)
+
+    def set_packet_connected(
+        self,
+        connected: bool,
+        now_s: float,
+    ) -> ControlStep:
+        """Note whether the packet process runs.
+
+        Parameters
+        ----------
+        connected : bool
+            True while the control link is connected.
+        now_s : float
+            Time.
+
+        Returns
+        -------
+        ControlStep
+            Datagrams that announce the state of this instance.
+        """
+        self._packet_connected = connected
+        self._update_serving(now_s)
+        return self._finish()
+
+    def leave(self, now_s: float) -> ControlStep:
+        """Announce the planned stop of this instance."""
+        self._apply_membership(self.membership.leave(now_s))
+        return self._finish()
+
+    def farewell(self, now_s: float) -> ControlStep:
+        """Announce that this instance ends now."""
+        self._apply_membership(self.membership.farewell(now_s))
+        return self._finish()
+
+    def snapshot(self, now_s: float) -> RoutingSnapshot | None:
+        """Return the routing snapshot, or None without a configuration."""
+        current = self.configuration.in_force
+        if current is None:
+            return None
+        return RoutingSnapshot(
+            current.generation,
+            current.configuration,
+            self.membership.members(),
+            self.zone_sight_s(now_s),
+            current.provisional,
+        )
+
+    def keepalive(self, now_s: float) -> Keepalive:
+        """Return the message for the packet process between snapshots."""
+        generation = self.configuration.generation
+        return Keepalive(generation, self.zone_sight_s(now_s))
+
+    def zone_sight_s(self, now_s: float) -> dict[str, float]:
+        """Return the seconds since each zone was heard from."""
+        current = self.configuration.in_force
+        zones = current.configuration.zones if current else ()
+        names = [zone.name for zone in zones]
+        return self.membership.zone_sight_s(names, now_s)
+
+    def is_zone_missing(self, now_s: float) -> bool:
+        """Whether a zone was not heard from, so that the list matters."""
+        ages_s = self.zone_sight_s(now_s).values()
+        return max(ages_s, default=0) > SUSPICIOUS_SIGHT_S
+
+    # Configuration
+
+    def _apply_transfer(self, step: TransferStep, now_s: float) -> None:
+        self._send(step.sends)
+        if step.reason:
+            self._event('configuration_transfer', detail=step.reason)
+        if step.fetched is not None:
+            self._adopt_fetched(step.fetched, now_s)
+
+    def _adopt_fetched(
+        self,
+        fetched: FetchedConfiguration,
+        now_s: float,
+    ) -> None:
+        try:
+            generation, cfg = self._codec.assemble(
+                fetched.head,
+                fetched.sections,
+            )
+        except SiskinproxyError as exc:
+            self._reject(fetched, str(exc))
+            return
+        if generation != fetched.generation:
+            self._reject(fetched, f'generation={generation} in the head')
+            return
+        candidate = ConfigurationInForce(
+            generation,
+            fetched.head_digest,
+            cfg,
+            provisional=self.configuration.in_force is None,
+            applied_s=now_s,
+        )
+        self._put_into_force(candidate, fetched.head, fetched.sections, now_s)
+
+    def _reject(self, fetched: FetchedConfiguration, error: str) -> None:
+        self.transfer.reject(fetched.head_digest)
+        self._event(
+            'configuration_rejected',
+            generation=fetched.generation,
+            error=error,
+        )
+
+    def _put_into_force(
+        self,
+        candidate: ConfigurationInForce,
+        head: bytes,
+        sections: Mapping[bytes, bytes],
+        now_s: float,
+    ) -> None:
+        try:
+            result = self.configuration.apply(candidate)
+        except InvariantViolation as exc:
+            self._event('invariant_violation', error=str(exc))
+            raise
+        if result.outcome == 'ignored':
+            return
+        self._event(
+            f'configuration_{result.outcome}',
+            generation=candidate.generation,
+            reason=result.reason,
+            provisional=candidate.provisional,
+        )
+        self._snapshot_wanted = True
+        if result.outcome == 'applied':
+            self.transfer.adopt(candidate.generation, head, sections)
+            step = self.membership.set_configuration(
+                candidate.generation,
+                candidate.head_digest,
+                now_s,
+            )
+            self._apply_membership(step)
+            self._update_serving(now_s)
+
+    def _confirm(self, now_s: float) -> None:
+        current = self.configuration.in_force
+        if current is None or not current.provisional:
+            return
+        if self.membership.store_age_s(now_s) > REACHABLE_S:
+            return
+        result = self.configuration.confirm('a peer has read the store')
+        self._snapshot_wanted = True
+        self._event(
+            'configuration_confirmed',
+            generation=current.generation,
+            reason=result.reason,
+        )
+
+    # Membership
+
+    def _update_serving(self, now_s: float) -> None:
+        has_configuration = self.configuration.in_force is not None
+        serving = has_configuration and self._packet_connected
+        self._apply_membership(self.membership.set_serving(serving, now_s))
+
+    def _apply_membership(self, step: Step) -> None:
+        self._send(step.sends)
+        for change in step.changes:
+            self._snapshot_wanted = True
+            self._events.append(_change_event(change))
+
+    # Output
+
+    def _send(self, sends: Iterable[Send]) -> None:
+        for address, message in sends:
+            payload = encode_message(message)
+            self.traffic['sent_bytes'] += len(payload) + UDP_OVERHEAD_BYTES
+            self.traffic['sent_messages'] += 1
+            self._datagrams.append(Datagram(address, payload))
+
+    def _event(self, event: str, **pairs: object) -> None:
+        self._events.append(ControlEvent(event, pairs))
+
+    def _finish(
+        self,
+        snapshot: RoutingSnapshot | None = None,
+    ) -> ControlStep:
+        step = ControlStep(
+            tuple(self._datagrams),
+            tuple(self._events),
+            snapshot,
+        )
+        self._datagrams.clear()
+        self._events.clear()
+        return step
+
+
+def _change_event(change: Change) -> ControlEvent:
+    return ControlEvent(
+        'member_changed',
+        {
+            'member': change.name,
+            'before': change.before,
+            'after': change.after,
+            'incarnation': change.incarnation,
+            'reason': change.reason,
+        },
+    )
--- a/siskinproxy/instances/configuration_transfer.py
+++ b/siskinproxy/instances/configuration_transfer.py
@@ -38,10 +38,17 @@
 #: A chunk that has not arrived by then is requested from another peer.
 CHUNK_TIMEOUT_S: Final = 0.25
 
-#: Time during which a peer is not asked after it was busy or did not answer.
-BUSY_S: Final = 0.2
+#: Time during which a peer is not asked after it did not answer or lacked the
+#: blob.
 UNRESPONSIVE_S: Final = 1.0
 
+#: Delay after the first busy answer. It doubles with each further one up to
+#: the longest delay: requests and refusals count as control bytes as well,
+#: and 26 instances that fetched everything from 6 peers at a fixed delay of
+#: 0.2 s took 51 KB/s of the busiest one.
+FIRST_BACKOFF_S: Final = 0.1
+MAX_BACKOFF_S: Final = 3.2
+
 #: Header, digest and UDP overhead of a request or a chunk.
 _MESSAGE_BYTES: Final = 150
 
@@ -142,6 +149,8 @@
         self._fetched: dict[bytes, bytes] = {}
         self._partial: dict[bytes, PartialBlob] = {}
         self._request: _Request | None = None
+        self._backoff_s = FIRST_BACKOFF_S
+        self._resume_s = now_s
 
     @property
     def target_generation(self) -> int:
@@ -283,11 +292,15 @@
         now_s: float,
     ) -> TransferStep:
         peer = message.header.record.name
-        if self._answers(message.digest, peer):
-            pause_s = UNRESPONSIVE_S if message.missing else BUSY_S
-            self._avoid_until_s[peer] = now_s + pause_s
-            self._request = None
-        return self._continue(header, now_s)
+        if not self._answers(message.digest, peer):
+            return TransferStep()
+        self._request = None
+        if message.missing:
+            self._avoid_until_s[peer] = now_s + UNRESPONSIVE_S
+            return self._continue(header, now_s)
+        self._resume_s = now_s + self._backoff_s * self._rng.uniform(0.5, 1.5)
+        self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
+        return TransferStep()
 
     def _on_chunk(
         self,
@@ -299,6 +312,7 @@
         if not self._answers(message.digest, peer, message.offset):
             return TransferStep()
         self._request = None
+        self._backoff_s = FIRST_BACKOFF_S
         partial = self._partial.setdefault(message.digest, PartialBlob())
         if not partial.append(message.offset, message.base, message.chunk):
             return self._discard(message.digest, peer, now_s)
@@ -331,6 +345,8 @@
     def _continue(self, header: Header, now_s: float) -> TransferStep:
         if self._request is not None or not self._offers:
             return TransferStep()
+        if now_s < self._resume_s:
+            return TransferStep()
         if self._generation == 0 and now_s < self._hold_until_s:
             return TransferStep()
         self._select_target()
--- a/siskinproxy/instances/membership.py
+++ b/siskinproxy/instances/membership.py
@@ -23,6 +23,7 @@
     CONDITION_ALIVE,
     CONDITION_DEAD,
     CONDITION_SUSPECT,
+    NEVER_READ,
     Ack,
     Gossip,
     Header,
@@ -71,6 +72,10 @@
 #: A gap between two calls longer than this means that the process was paused.
 PAUSE_S: Final = 0.5
 
+#: After a pause the socket holds datagrams of unknown age; those read within
+#: this time are dropped, since they are no evidence of the present.
+RESUME_DISCARD_S: Final = 0.1
+
 #: Members that probe on behalf of another one.
 HELPERS: Final = 2
 
@@ -150,6 +155,7 @@
         self._head_digest = b''
         self._last_s = now_s
         self._clock_offset_s: float = 0
+        self._discard_until_s = now_s
         self._probe_due_s = now_s + rng.random() * PROBE_PERIOD_S
         self._successor_due_s = now_s + rng.random() * SUCCESSOR_PERIOD_S
         self._reconnect_due_s = now_s
@@ -222,13 +228,20 @@
         return self.reachability.sight_s(zones, now_s + self._clock_offset_s)
 
     def store_age_s(self, now_s: float) -> float:
-        """Return the age of the youngest known store read, in seconds."""
+        """Return the age of the youngest known store read, in seconds.
+
+        The generation in force here is at least the one of that read.
+        """
         return self.reachability.store_age_s(now_s + self._clock_offset_s)
 
     def header(self, now_s: float) -> Header:
         """Return the header of a message that is sent now."""
         return self._header(now_s + self._clock_offset_s)
 
+    def is_resuming(self, now_s: float) -> bool:
+        """Whether messages are dropped, since they may be old."""
+        return now_s + self._clock_offset_s < self._discard_until_s
+
     # Inputs
 
     def on_timer(self, now_s: float) -> Step:
@@ -271,7 +284,8 @@
         """
         now_s = self._advance(now_s)
         header = message.header
-        if header.record.name == self._record.name:
+        is_own = header.record.name == self._record.name
+        if is_own or now_s < self._discard_until_s:
             return self._finish(now_s)
         incarnation = self._record.incarnation
         self._observe(header, now_s)
@@ -364,7 +378,7 @@
         self.reachability.set_listed_zones(zones)
 
     def note_store_read(self, now_s: float) -> None:
-        """Note that this instance read the store."""
+        """Note that this instance read the generation in force in the store."""
         self.reachability.note_store_read(now_s + self._clock_offset_s)
 
     # Time
@@ -382,6 +396,7 @@
 
     def _resume(self, now_s: float) -> None:
         """Discard timeouts that passed while this process did not run."""
+        self._discard_until_s = now_s + RESUME_DISCARD_S
         self._probes.clear()
         self._table.extend_suspicions(now_s)
         self._probe_due_s = now_s
@@ -391,7 +406,11 @@
 
     def _observe(self, header: Header, now_s: float) -> None:
         record = header.record
-        self.reachability.hear(record.zone, header.store_age_ms, now_s)
+        # The age of the youngest store read also states that the own
+        # configuration is at least as new as the one read then.
+        is_current = header.generation <= self._generation
+        store_age_ms = header.store_age_ms if is_current else NEVER_READ
+        self.reachability.hear(record.zone, store_age_ms, now_s)
         self._learn(Update(record), now_s, 'heard from it')
         entry = self._table.find(record.name)
         if entry is not None and not _agrees(entry, record):
--- a/siskinproxy/instances/tests/test_membership.py
+++ b/siskinproxy/instances/tests/test_membership.py
@@ -35,8 +35,8 @@
     return [getattr(record, field) for field in record.__struct_fields__]
 
 
-def make_membership(name='i0', zone='a', seeds=()):
-    return Membership(member(name, zone), random.Random(1), seeds, 0)
+def make_membership(name='i0', zone='a', now_s=0):
+    return Membership(member(name, zone), random.Random(1), (), now_s)
 
 
 def introduce(membership, identity, now_s=0, **fields):
@@ -193,9 +193,31 @@
     assert membership.states()['i1'] == 'alive'
 
 
+def test_messages_read_after_a_pause_are_no_evidence():
+    """Guards against datagrams that waited in the socket while frozen."""
+    membership = make_membership()
+    introduce(membership, member('i1', 'b'))
+    membership.on_timer(60.0)
+    introduce(membership, member('i1', 'b'), 60.05, store_age_ms=0)
+    assert membership.zone_sight_s(['b'], 60.1)['b'] > 60
+    assert membership.store_age_s(60.1) == float('inf')
+    introduce(membership, member('i1', 'b'), 60.2, store_age_ms=0)
+    assert membership.zone_sight_s(['b'], 60.2)['b'] == 0
+
+
+def test_store_read_counts_only_with_its_generation():
+    """Guards against an old configuration with a young store read."""
+    membership = make_membership()
+    introduce(membership, member('i1'), generation=5, store_age_ms=0)
+    assert membership.store_age_s(0) == float('inf')
+    membership.set_configuration(5, b'h', 0)
+    introduce(membership, member('i1'), generation=5, store_age_ms=0)
+    assert membership.store_age_s(0) == 0
+
+
 def test_clock_that_jumps_back_does_not_stop_the_timers():
     """Guards against a standstill until the clock catches up."""
-    membership = make_membership()
+    membership = make_membership(now_s=100)
     introduce(membership, member('i1'), 100.0)
     changes = [
         change
