--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 	$(BIN)/python -m siskinproxy.measure.capacity
 
 proto: setup
-	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I . \
+	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -I . \
 		--python_out=. --grpclib_python_out=. $(PROTOS)
 
 clean:
--- a/siskinproxy/standins/fake_store_client.py
+++ b/siskinproxy/standins/fake_store_client.py
@@ -1,7 +1,6 @@
 """Client that calls a `MemoryStore` directly, with planned faults."""
 
 import asyncio
-import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final, Literal, TypeAlias
@@ -29,8 +28,7 @@
 # rate_limit: the store rejects the call;
 # lost_request: the request is lost after it was sent;
 # lost_answer: the call is executed and its answer is lost;
-# late: the answer is lost and the call is executed after the client's next
-# call only.
+# late: the answer is lost and the call is executed after ``late_s``.
 PlannedFault: TypeAlias = Literal[
     'unavailable',
     'rate_limit',
@@ -40,6 +38,10 @@
 ]
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class FakeKeyValueClient:
     """Client that calls a `MemoryStore` directly, for tests.
 
@@ -49,12 +51,14 @@
         Store to call.
     name : str
         Name of the client, for ``Faults.cut_clients``.
-    clock : callable
-        Returns the current time in seconds.
+    clock : callable, optional
+        Returns the current time in seconds; the event loop's time by default.
     sleep : callable
         Coroutine function that waits for some seconds.
     plan : mapping of int to str
         Faults by the number of the call, starting at 0.
+    late_s : float
+        Delay of a call with the fault ``late``.
 
     Attributes
     ----------
@@ -68,18 +72,20 @@
         self,
         store: MemoryStore,
         name: str = '',
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         plan: Mapping[int, PlannedFault] | None = None,
+        late_s: float = 5,
     ) -> None:
         self.calls: Counter[str] = Counter()
         self.log: list[tuple[str, str]] = []
         self._store = store
         self._name = name
-        self._clock = clock
+        self._clock = clock or _loop_time
         self._sleep = sleep
         self._plan = dict(plan or {})
-        self._late: list[tuple[int, _Execute]] = []
+        self._late_s = late_s
+        self._late: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Do nothing; present for parity with `GrpcKeyValueClient`."""
@@ -161,11 +167,9 @@
         if faults.outage or self._name in faults.cut_clients:
             raise StoreUnavailableError('reason="planned outage"')
 
-    def _run_late(self, number: int) -> None:
-        due = [call for call in self._late if call[0] < number]
-        for late in due:
-            self._late.remove(late)
-            self._run_unheard(late[1])
+    async def _run_late(self, execute: _Execute) -> None:
+        await asyncio.sleep(self._late_s)
+        self._run_unheard(execute)
 
     def _run_unheard(self, execute: _Execute) -> None:
         """Execute a call whose caller does not hear the result."""
@@ -185,7 +189,6 @@
         self.log.append((kind, key))
         # Other tasks run here, as they do during a call over the network.
         await self._sleep(self._store.faults.latency_s)
-        self._run_late(number - 1)
         fault = self._plan.get(number)
         self._check_reachable()
         if fault == 'unavailable':
@@ -195,18 +198,19 @@
         self._store.admit(kind, self._clock())
         lost = kind in WRITE_CALLS and self._store.faults.take_lost_answer()
         if lost or fault is not None:
-            self._lose(number, kind, execute, fault)
+            self._lose(kind, execute, fault)
         return execute()
 
     def _lose(
         self,
-        number: int,
         kind: str,
         execute: _Execute,
         fault: PlannedFault | None,
     ) -> None:
         if fault == 'late':
-            self._late.append((number, execute))
+            late = asyncio.create_task(self._run_late(execute))
+            self._late.add(late)
+            late.add_done_callback(self._late.discard)
         elif fault != 'lost_request':
             self._run_unheard(execute)
         if kind in WRITE_CALLS:
--- a/siskinproxy/store/__init__.py
+++ b/siskinproxy/store/__init__.py
@@ -1,15 +1,59 @@
 """Interface towards the key-value store of the platform."""
 
+from siskinproxy.store.audit import read_audit
 from siskinproxy.store.client import (
     ABSENT,
     GrpcKeyValueClient,
     KeyValue,
     KeyValueClient,
 )
+from siskinproxy.store.head import (
+    AuditEntry,
+    Head,
+    assemble,
+    check_monotonic,
+    decode_head,
+    empty_head,
+    encode_head,
+    fetch_sections,
+    head_key,
+    section_key,
+)
+from siskinproxy.store.options import RetryPolicy, SubmitOptions
+from siskinproxy.store.results import (
+    Accepted,
+    Conflict,
+    OutcomeUnknown,
+    Rejected,
+    SubmissionResult,
+)
+from siskinproxy.store.sections import digest_of, encode_sections
+from siskinproxy.store.submission import submit
 
 __all__ = (
     'ABSENT',
+    'Accepted',
+    'AuditEntry',
+    'Conflict',
     'GrpcKeyValueClient',
+    'Head',
     'KeyValue',
     'KeyValueClient',
+    'OutcomeUnknown',
+    'Rejected',
+    'RetryPolicy',
+    'SubmissionResult',
+    'SubmitOptions',
+    'assemble',
+    'check_monotonic',
+    'decode_head',
+    'digest_of',
+    'empty_head',
+    'encode_head',
+    'encode_sections',
+    'fetch_sections',
+    'head_key',
+    'read_audit',
+    'section_key',
+    'submit',
 )
