--- a/siskinproxy/instances/configuration_transfer.py
+++ b/siskinproxy/instances/configuration_transfer.py
@@ -10,12 +10,13 @@
 from siskinproxy.instances.blobs import BlobShelf, PartialBlob
 from siskinproxy.instances.dissemination import TokenBucket
 from siskinproxy.instances.gossip import (
-    CHUNK_BYTES,
+    MAX_DATAGRAM_BYTES,
     BlobBusy,
     BlobChunk,
     BlobRequest,
     Header,
     Message,
+    chunk_bytes,
 )
 from siskinproxy.instances.membership import Send
 from siskinproxy.instances.probes import Address
@@ -31,9 +32,10 @@
 START_QUERY_S: Final = 1.0
 
 #: Bytes a second for fetching and serving together, and their burst. With
-#: about 5 KB/s of gossip a node stays below 23 KB/s in every second.
-TRANSFER_RATE_BYTES_S: Final = 11_000
-TRANSFER_BURST_BYTES: Final = 5_000
+#: about 5 KB/s of gossip a node stays below 23 KB/s in every second. A change
+#: takes about 3.5 KB, so an instance can pass it on at once to one or two.
+TRANSFER_RATE_BYTES_S: Final = 8_500
+TRANSFER_BURST_BYTES: Final = 9_000
 
 #: A chunk that has not arrived by then is requested from another peer.
 CHUNK_TIMEOUT_S: Final = 0.25
@@ -47,7 +49,7 @@
 #: and 26 instances that fetched everything from 6 peers at a fixed delay of
 #: 0.2 s took 51 KB/s of the busiest one.
 FIRST_BACKOFF_S: Final = 0.1
-MAX_BACKOFF_S: Final = 3.2
+MAX_BACKOFF_S: Final = 1.6
 
 #: Header, digest and UDP overhead of a request or a chunk.
 _MESSAGE_BYTES: Final = 150
@@ -269,7 +271,8 @@
         form = self._shelf.transfer_form(message.digest, message.base)
         if form is None:
             return Send(address, BlobBusy(header, message.digest, True))
-        chunk = form.data[message.offset : message.offset + CHUNK_BYTES]
+        end = message.offset + chunk_bytes(header)
+        chunk = form.data[message.offset : end]
         cost_bytes = len(chunk) + _MESSAGE_BYTES * 2
         if not self._budget.take(cost_bytes, now_s):
             return Send(address, BlobBusy(header, message.digest))
@@ -394,7 +397,7 @@
         peer = self._select_peer(target, now_s)
         if peer is None:
             return TransferStep()
-        cost_bytes = CHUNK_BYTES + _MESSAGE_BYTES * 2
+        cost_bytes = MAX_DATAGRAM_BYTES + _MESSAGE_BYTES
         if not self._budget.take(cost_bytes, now_s):
             return TransferStep()
         partial = self._partial.get(digest)
--- a/siskinproxy/instances/gossip.py
+++ b/siskinproxy/instances/gossip.py
@@ -13,7 +13,6 @@
 from siskinproxy.errors import GossipFormatError
 
 __all__ = (
-    'CHUNK_BYTES',
     'CONDITION_ALIVE',
     'CONDITION_DEAD',
     'CONDITION_SUSPECT',
@@ -33,6 +32,7 @@
     'PingRequest',
     'Record',
     'Update',
+    'chunk_bytes',
     'decode_message',
     'encode_message',
     'fit_updates',
@@ -43,9 +43,6 @@
 #: Fits into the minimum IPv6 MTU with headers, so no path fragments it.
 MAX_DATAGRAM_BYTES: Final = 1200
 
-#: Leaves room for the header of a sender with names of up to 48 bytes.
-CHUNK_BYTES: Final = 960
-
 #: IPv4 and UDP headers, counted in the control bytes of a node.
 UDP_OVERHEAD_BYTES: Final = 28
 
@@ -59,6 +56,9 @@
 #: Array header, tags and sequence numbers around the updates.
 _ENVELOPE_BYTES: Final = 32
 
+#: Array header, tag, numbers and two SHA-256 digests around a chunk.
+_CHUNK_ENVELOPE_BYTES: Final = 96
+
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """What an instance states about itself.
@@ -338,6 +338,12 @@
     return tuple(chosen)
 
 
+def chunk_bytes(header: Header) -> int:
+    """Return the size of a chunk that fits into a datagram."""
+    header_bytes = len(_ENCODER.encode(header))
+    return MAX_DATAGRAM_BYTES - _CHUNK_ENVELOPE_BYTES - header_bytes
+
+
 def record_of(member: Member) -> Record:
     """Return the record of an instance that is about to join."""
     return Record(
--- a/siskinproxy/instances/membership.py
+++ b/siskinproxy/instances/membership.py
@@ -59,11 +59,12 @@
 #: Every second period the successor in the name order is probed as well.
 SUCCESSOR_PERIOD_S: Final = 0.4
 
-#: Dead members and suggested addresses are probed at this interval, so that
-#: a healed partition is noticed within a second.
+#: Interval at which each member may probe a dead member and a suggested
+#: address.
 RECONNECT_PERIOD_S: Final = 0.4
 
-#: Interval of the requests for a page of the member list.
+#: Interval of the requests for a page of the member list, which repair
+#: updates that were lost.
 PAGE_PERIOD_S: Final = 5.0
 
 #: Interval of the pages while an instance joins, about 11 KB/s.
@@ -82,9 +83,14 @@
 #: Members that get news at once, before the next probe.
 PUSH_FAN_OUT: Final = 3
 
-#: Pushes a second and their burst; 15 datagrams of 500 bytes are 7.5 KB/s.
-PUSH_RATE: Final = 15.0
-PUSH_BURST: Final = 12.0
+#: Pushes a second and their burst; 8 datagrams of 400 bytes are 3.2 KB/s.
+PUSH_RATE: Final = 8.0
+PUSH_BURST: Final = 9.0
+
+#: Probes a second that a dead member or a suggested address gets from all
+#: members together. Without this limit 127 members sent 40 KB/s to one
+#: restarted member.
+RECONNECT_RATE: Final = 5.0
 
 #: Interval between two corrections of the same member.
 CORRECTION_PERIOD_S: Final = 0.2
@@ -493,6 +499,8 @@
     @_handle.register
     def _(self, message: MembersPage, now_s: float) -> None:
         self._page_after = message.page_end
+        if not message.page_end:
+            self._has_member_list = True
 
     @_handle.register
     def _(self, message: MembersRequest, now_s: float) -> None:
@@ -562,7 +570,7 @@
     def _reconnect(self, now_s: float) -> None:
         """Probe a dead member and a suggested address."""
         dead = self._table.dead()
-        if dead:
+        if self._shares_reconnect(len(dead)):
             entry = self._rng.choice(dead)
             self._send_probe(entry.record, now_s, (entry.update(now_s),))
         known = {_address(entry.record) for entry in self._table}
@@ -572,11 +580,17 @@
             for address in (*self._seeds, *self._listed)
             if address not in known
         ]
-        if unknown:
+        if self._shares_reconnect(len(unknown)):
             address = self._rng.choice(unknown)
             ping = Ping(self._header(now_s), 0)
             self._sends.append(Send(address, ping))
 
+    def _shares_reconnect(self, absent: int) -> bool:
+        """Whether it is up to this member to probe one of the absent."""
+        members = len(self._table.living()) + 1
+        share = absent * RECONNECT_RATE * RECONNECT_PERIOD_S / members
+        return self._rng.random() < share
+
     def _delegate_probes(self, now_s: float) -> None:
         for sequence, probe in self._probes.to_delegate(now_s):
             entry = self._table.find(probe.record.name)
@@ -611,8 +625,7 @@
         contacts = self._sample(1)
         if not contacts:
             return
-        complete = self._has_member_list and not self._page_after
-        self._has_member_list = True
+        complete = self._has_member_list
         period_s = PAGE_PERIOD_S if complete else JOIN_PAGE_PERIOD_S
         self._page_due_s = now_s + period_s
         request = MembersRequest(self._header(now_s), self._page_after)
