--- a/siskinproxy/instances/membership.py
+++ b/siskinproxy/instances/membership.py
@@ -23,6 +23,7 @@
     CONDITION_ALIVE,
     CONDITION_DEAD,
     CONDITION_SUSPECT,
+    NEVER_READ,
     Ack,
     Gossip,
     Header,
@@ -58,11 +59,12 @@
 #: Every second period the successor in the name order is probed as well.
 SUCCESSOR_PERIOD_S: Final = 0.4
 
-#: Dead members and suggested addresses are probed at this interval, so that
-#: a healed partition is noticed within a second.
+#: Interval at which each member may probe a dead member and a suggested
+#: address.
 RECONNECT_PERIOD_S: Final = 0.4
 
-#: Interval of the requests for a page of the member list.
+#: Interval of the requests for a page of the member list, which repair
+#: updates that were lost.
 PAGE_PERIOD_S: Final = 5.0
 
 #: Interval of the pages while an instance joins, about 11 KB/s.
@@ -71,15 +73,24 @@
 #: A gap between two calls longer than this means that the process was paused.
 PAUSE_S: Final = 0.5
 
+#: After a pause the socket holds datagrams of unknown age; those read within
+#: this time are dropped, since they are no evidence of the present.
+RESUME_DISCARD_S: Final = 0.1
+
 #: Members that probe on behalf of another one.
 HELPERS: Final = 2
 
 #: Members that get news at once, before the next probe.
 PUSH_FAN_OUT: Final = 3
 
-#: Pushes a second and their burst; 15 datagrams of 500 bytes are 7.5 KB/s.
-PUSH_RATE: Final = 15.0
-PUSH_BURST: Final = 12.0
+#: Pushes a second and their burst; 8 datagrams of 400 bytes are 3.2 KB/s.
+PUSH_RATE: Final = 8.0
+PUSH_BURST: Final = 9.0
+
+#: Probes a second that a dead member or a suggested address gets from all
+#: members together. Without this limit 127 members sent 40 KB/s to one
+#: restarted member.
+RECONNECT_RATE: Final = 5.0
 
 #: Interval between two corrections of the same member.
 CORRECTION_PERIOD_S: Final = 0.2
@@ -150,6 +161,7 @@
         self._head_digest = b''
         self._last_s = now_s
         self._clock_offset_s: float = 0
+        self._discard_until_s = now_s
         self._probe_due_s = now_s + rng.random() * PROBE_PERIOD_S
         self._successor_due_s = now_s + rng.random() * SUCCESSOR_PERIOD_S
         self._reconnect_due_s = now_s
@@ -222,13 +234,20 @@
         return self.reachability.sight_s(zones, now_s + self._clock_offset_s)
 
     def store_age_s(self, now_s: float) -> float:
-        """Return the age of the youngest known store read, in seconds."""
+        """Return the age of the youngest known store read, in seconds.
+
+        The generation in force here is at least the one of that read.
+        """
         return self.reachability.store_age_s(now_s + self._clock_offset_s)
 
     def header(self, now_s: float) -> Header:
         """Return the header of a message that is sent now."""
         return self._header(now_s + self._clock_offset_s)
 
+    def is_resuming(self, now_s: float) -> bool:
+        """Whether messages are dropped, since they may be old."""
+        return now_s + self._clock_offset_s < self._discard_until_s
+
     # Inputs
 
     def on_timer(self, now_s: float) -> Step:
@@ -271,7 +290,8 @@
         """
         now_s = self._advance(now_s)
         header = message.header
-        if header.record.name == self._record.name:
+        is_own = header.record.name == self._record.name
+        if is_own or now_s < self._discard_until_s:
             return self._finish(now_s)
         incarnation = self._record.incarnation
         self._observe(header, now_s)
@@ -364,7 +384,7 @@
         self.reachability.set_listed_zones(zones)
 
     def note_store_read(self, now_s: float) -> None:
-        """Note that this instance read the store."""
+        """Note that this instance read the generation in force in the store."""
         self.reachability.note_store_read(now_s + self._clock_offset_s)
 
     # Time
@@ -382,6 +402,7 @@
 
     def _resume(self, now_s: float) -> None:
         """Discard timeouts that passed while this process did not run."""
+        self._discard_until_s = now_s + RESUME_DISCARD_S
         self._probes.clear()
         self._table.extend_suspicions(now_s)
         self._probe_due_s = now_s
@@ -391,7 +412,11 @@
 
     def _observe(self, header: Header, now_s: float) -> None:
         record = header.record
-        self.reachability.hear(record.zone, header.store_age_ms, now_s)
+        # The age of the youngest store read also states that the own
+        # configuration is at least as new as the one read then.
+        is_current = header.generation <= self._generation
+        store_age_ms = header.store_age_ms if is_current else NEVER_READ
+        self.reachability.hear(record.zone, store_age_ms, now_s)
         self._learn(Update(record), now_s, 'heard from it')
         entry = self._table.find(record.name)
         if entry is not None and not _agrees(entry, record):
@@ -474,6 +499,8 @@
     @_handle.register
     def _(self, message: MembersPage, now_s: float) -> None:
         self._page_after = message.page_end
+        if not message.page_end:
+            self._has_member_list = True
 
     @_handle.register
     def _(self, message: MembersRequest, now_s: float) -> None:
@@ -543,7 +570,7 @@
     def _reconnect(self, now_s: float) -> None:
         """Probe a dead member and a suggested address."""
         dead = self._table.dead()
-        if dead:
+        if self._shares_reconnect(len(dead)):
             entry = self._rng.choice(dead)
             self._send_probe(entry.record, now_s, (entry.update(now_s),))
         known = {_address(entry.record) for entry in self._table}
@@ -553,11 +580,17 @@
             for address in (*self._seeds, *self._listed)
             if address not in known
         ]
-        if unknown:
+        if self._shares_reconnect(len(unknown)):
             address = self._rng.choice(unknown)
             ping = Ping(self._header(now_s), 0)
             self._sends.append(Send(address, ping))
 
+    def _shares_reconnect(self, absent: int) -> bool:
+        """Whether it is up to this member to probe one of the absent."""
+        members = len(self._table.living()) + 1
+        share = absent * RECONNECT_RATE * RECONNECT_PERIOD_S / members
+        return self._rng.random() < share
+
     def _delegate_probes(self, now_s: float) -> None:
         for sequence, probe in self._probes.to_delegate(now_s):
             entry = self._table.find(probe.record.name)
@@ -592,8 +625,7 @@
         contacts = self._sample(1)
         if not contacts:
             return
-        complete = self._has_member_list and not self._page_after
-        self._has_member_list = True
+        complete = self._has_member_list
         period_s = PAGE_PERIOD_S if complete else JOIN_PAGE_PERIOD_S
         self._page_due_s = now_s + period_s
         request = MembersRequest(self._header(now_s), self._page_after)
