--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -34,6 +34,7 @@
     'UnknownTargetError',
     'UnknownZoneError',
     'ValueRangeError',
+    'WrongRegionError',
 )
 
 #: Exit code of a process whose settings are wrong.
@@ -434,3 +435,20 @@
         super().__init__(f'submission={submission_id} generation={generation}')
         self.submission_id = submission_id
         self.generation = generation
+
+
+class WrongRegionError(ConfigurationError):
+    """A configuration was submitted to another region than its own.
+
+    Parameters
+    ----------
+    expected : str
+        Region that it was submitted to.
+    found : str
+        Region that it names.
+    """
+
+    def __init__(self, expected: str, found: str) -> None:
+        super().__init__(f'region={found} expected={expected}')
+        self.expected = expected
+        self.found = found
--- a/siskinproxy/store/__init__.py
+++ b/siskinproxy/store/__init__.py
@@ -17,6 +17,7 @@
     encode_head,
     fetch_sections,
     head_key,
+    referenced_sections,
     section_key,
 )
 from siskinproxy.store.options import RetryPolicy, SubmitOptions
@@ -54,6 +55,7 @@
     'fetch_sections',
     'head_key',
     'read_audit',
+    'referenced_sections',
     'section_key',
     'submit',
 )
--- a/siskinproxy/store/head.py
+++ b/siskinproxy/store/head.py
@@ -39,6 +39,7 @@
     'fetch_sections',
     'head_key',
     'next_head',
+    'referenced_sections',
     'section_key',
 )
 
@@ -203,6 +204,30 @@
     return head
 
 
+def referenced_sections(region: str, encoded: bytes) -> tuple[bytes, ...]:
+    """Return the digests of the sections that an encoded head names.
+
+    Parameters
+    ----------
+    region : str
+        Region that the head has to belong to.
+    encoded : bytes
+        Stored form of the head.
+
+    Returns
+    -------
+    tuple of bytes
+        Digests of the sections that have content.
+
+    Raises
+    ------
+    StoreDataError
+        The value is no head of this region in a known format.
+    """
+    head = decode_head(region, KeyValue(encoded, 1))
+    return tuple(filter(None, head.digests))
+
+
 def next_head(
     head: Head,
     digests: tuple[bytes, ...],
--- a/siskinproxy/store/options.py
+++ b/siskinproxy/store/options.py
@@ -5,8 +5,14 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
-from siskinproxy.errors import ConfigurationError, SiskinproxyError
+from siskinproxy.errors import SiskinproxyError
 from siskinproxy.operators.configuration import Configuration
+from siskinproxy.operators.differences import (
+    describe,
+    find_differences,
+    retire,
+)
+from siskinproxy.operators.validation import validate
 
 __all__ = ('RetryPolicy', 'SubmitOptions', 'describe_change')
 
@@ -39,30 +45,11 @@
         return nominal_s * rng.uniform(0.5, 1)
 
 
-def _keep(
-    previous: Configuration | None,
-    cfg: Configuration,
-    generation: int,
-    now_unix_s: int,
-) -> Configuration:
-    """Return the configuration unchanged."""
-    return cfg
-
-
-def _no_errors(
-    cfg: Configuration,
-    previous: Configuration | None = None,
-    now_unix_s: int = 0,
-) -> tuple[ConfigurationError, ...]:
-    """Accept every configuration."""
-    return ()
-
-
 def describe_change(
     previous: Configuration | None,
     cfg: Configuration,
 ) -> str:
-    """Return a short text that names what differs.
+    """Return a text that names what differs, for the audit trail.
 
     Parameters
     ----------
@@ -74,20 +61,12 @@
     Returns
     -------
     str
-        Text for the audit trail.
+        One line.
     """
     if previous is None:
         return 'first configuration'
-    earlier = {service.name: service for service in previous.services}
-    later = {service.name: service for service in cfg.services}
-    names = sorted(earlier.keys() | later.keys())
-    parts = [name for name in names if earlier.get(name) != later.get(name)]
-    changed = ['services: {}'.format(', '.join(parts))] if parts else []
-    if previous.zones != cfg.zones:
-        changed.append('zones')
-    if previous.retired != cfg.retired:
-        changed.append('retired targets')
-    return '; '.join(changed) or 'nothing'
+    found = find_differences(previous, cfg)
+    return '; '.join(map(describe, found)) or 'no difference'
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,14 +75,15 @@
 
     Parameters
     ----------
-    retire : callable
-        ``retire(previous, cfg, generation, now_unix_s)`` returns the
-        configuration with its retired targets.
     validate : callable
         ``validate(cfg, previous=..., now_unix_s=...)`` returns a tuple of
         errors.
-    describe : callable
-        ``describe(previous, cfg)`` returns the summary for the audit trail.
+    retire : callable
+        ``retire(previous, cfg, generation, now_unix_s)`` returns the
+        validated configuration with its retired targets; not called for the
+        first configuration.
+    summarize : callable
+        ``summarize(previous, cfg)`` returns the summary for the audit trail.
     known_sections : mapping of bytes to bytes
         Encoded sections by digest that need not be read from the store.
     retry : RetryPolicy
@@ -114,9 +94,9 @@
         Source of the jitter.
     """
 
-    retire: Callable[..., Configuration] = _keep
-    validate: Callable[..., tuple[SiskinproxyError, ...]] = _no_errors
-    describe: Callable[..., str] = describe_change
+    validate: Callable[..., tuple[SiskinproxyError, ...]] = validate
+    retire: Callable[..., Configuration] = retire
+    summarize: Callable[..., str] = describe_change
     known_sections: Mapping[bytes, bytes] = field(default_factory=dict)
     retry: RetryPolicy = RetryPolicy()
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
--- a/siskinproxy/store/submission.py
+++ b/siskinproxy/store/submission.py
@@ -14,7 +14,6 @@
 import xxhash
 
 from siskinproxy.errors import (
-    ConfigurationError,
     SiskinproxyError,
     StoreConflictError,
     StoreError,
@@ -22,6 +21,7 @@
     StoreRateLimitError,
     StoreUnavailableError,
     SubmissionReusedError,
+    WrongRegionError,
 )
 from siskinproxy.operators.configuration import Configuration
 from siskinproxy.store.audit import (
@@ -175,10 +175,10 @@
     async def _prepare(self, head: Head) -> Head | Rejected:
         """Write everything that the changed head refers to."""
         previous = await self._load(head)
-        cfg = self._with_retired(previous)
-        errors = self._validate(cfg, previous)
+        errors = self._validate(previous)
         if errors:
             return Rejected(errors, 'invalid')
+        cfg = self._with_retired(previous)
         digests = await self._write_sections(head, previous, cfg)
         # The commit replaces the only other copy of the last entry.
         await self._retry(self._store_entry, head.audit)
@@ -227,6 +227,8 @@
 
     def _with_retired(self, previous: Configuration | None) -> Configuration:
         req = self._req
+        if previous is None:
+            return req.cfg
         cfg = self._options.retire(
             previous,
             req.cfg,
@@ -237,16 +239,15 @@
 
     def _validate(
         self,
-        cfg: Configuration,
         previous: Configuration | None,
     ) -> tuple[SiskinproxyError, ...]:
-        if cfg.region != self._req.region:
-            detail = f'region={cfg.region} expected={self._req.region}'
-            return (ConfigurationError(detail),)
+        req = self._req
+        if req.cfg.region != req.region:
+            return (WrongRegionError(req.region, req.cfg.region),)
         return self._options.validate(
-            cfg,
+            req.cfg,
             previous=previous,
-            now_unix_s=self._req.now_unix_s,
+            now_unix_s=req.now_unix_s,
         )
 
     def _entry(
@@ -255,7 +256,7 @@
         cfg: Configuration,
     ) -> AuditEntry:
         req = self._req
-        summary = self._options.describe(previous, cfg)
+        summary = self._options.summarize(previous, cfg)
         return AuditEntry(
             generation=req.base_generation + 1,
             base_generation=req.base_generation,
--- a/siskinproxy/store/tests/configurations.py
+++ b/siskinproxy/store/tests/configurations.py
@@ -10,6 +10,7 @@
 
 REGION = 'alfold'
 ZONES = (Zone('a'), Zone('b'), Zone('c'))
+ZONES_WITHOUT_C = (*ZONES[:2], Zone('c', in_service=False))
 
 
 def make_service(number, targets=3, slots=4):
--- a/siskinproxy/store/tests/test_audit.py
+++ b/siskinproxy/store/tests/test_audit.py
@@ -12,7 +12,7 @@
 from siskinproxy.store.head import audit_key, audit_prefix
 from siskinproxy.store.tests.configurations import (
     REGION,
-    ZONES,
+    ZONES_WITHOUT_C,
     make_configuration,
 )
 
@@ -39,7 +39,7 @@
     async def scenario():
         client = FakeKeyValueClient(fast_store())
         await send(client, 0)
-        await send(client, 1, zones=ZONES[:2])
+        await send(client, 1, zones=ZONES_WITHOUT_C)
         assert await read_audit(client, REGION) == (
             AuditEntry(
                 generation=2,
@@ -47,7 +47,15 @@
                 operator='bela',
                 unix_s=1001,
                 submission_id='s1',
-                summary='services: service-000; zones',
+                summary=(
+                    'zone c changed: now out of service; '
+                    'target service-000-0 of service service-000 changed: '
+                    'slots 4 to 5; '
+                    'target service-000-1 of service service-000 changed: '
+                    'slots 4 to 5; '
+                    'target service-000-2 of service service-000 changed: '
+                    'slots 4 to 5'
+                ),
                 result='accepted',
             ),
             AuditEntry(1, 0, 'bela', 1000, 's0', 'first configuration'),
--- a/siskinproxy/store/tests/test_submission.py
+++ b/siskinproxy/store/tests/test_submission.py
@@ -35,6 +35,7 @@
 from siskinproxy.store.tests.configurations import (
     REGION,
     ZONES,
+    ZONES_WITHOUT_C,
     make_configuration,
 )
 
@@ -278,7 +279,9 @@
     async def scenario():
         store = await prepared()
         client = FakeKeyValueClient(store)
-        outcome = await send(client, SECOND, 1, 'x', validate=refuse)
+        outcome = await send(
+            client, SECOND, 1, 'x', validate=refuse, retire=None
+        )
         assert outcome.reason == 'invalid'
         assert client.calls == {'Get': 4}
         await send(client, SECOND, 1, 'y', retire=retire)
@@ -288,6 +291,24 @@
     run_virtual(scenario())
 
 
+def test_rules_of_operators_apply_by_default():
+    """Guards against a caller that forgets to pass the validation."""
+
+    async def scenario():
+        store = await prepared()
+        client = FakeKeyValueClient(store)
+        cfg = make_configuration(zones=ZONES[:2])
+        outcome = await send(client, cfg, 1, 'second')
+        assert outcome.reason == 'invalid'
+        assert (await read_state(store))[0].generation == 1
+        without = make_configuration(services=1)
+        assert await send(client, without, 1, 'third') == Accepted(2)
+        _head, found = await read_state(store)
+        assert {entry.service for entry in found.retired} == {'service-001'}
+
+    run_virtual(scenario())
+
+
 def test_wrong_region_is_rejected():
     """Guards against a configuration that replaces another region's."""
 
@@ -323,7 +344,7 @@
 
     async def scenario():
         store = await prepared()
-        zones = ZONES[:2] if zone_out else ZONES
+        zones = ZONES_WITHOUT_C if zone_out else ZONES
         cfg = make_configuration(slots=5, zones=zones)
         probe = await prepared()
         await send(FakeKeyValueClient(probe), cfg, 1, 'second')
