Let a deputy decide when the owner of a shard is silent

Cause: an instance that failed as owner left its shard without decisions until the membership protocol noticed, 1.2 s plus the spread of the news, longer than the 1 s deadline of requests. Slots also leaked, since the notices that end flows went along a chain that began at the failed owner.

Change: owners acknowledge opening segments; after 0.2 s of silence the next home decides; notices go to every home in parallel; halved limits after a takeover apply to targets that warm up only.

--- a/siskinproxy/balancer/closing.py
+++ b/siskinproxy/balancer/closing.py
@@ -60,10 +60,19 @@
         """Tell the homes of a flow about a segment that changes its state.
 
         Only the header is sent, and on the packet path, so the change costs
-        no control traffic.
+        no control traffic. Each home gets its own datagram, since a chain
+        would lose the change for all homes behind one that has failed.
+        Suspected homes get it too: a false suspicion must not keep slots of
+        the owner in use.
         """
+        state = self._state
         notice = segment[:MIN_SEGMENT_BYTES]
-        self._pass_on(service, key, notice, 0, now_s)
+        shard = state.shard(service, key)
+        for home in state.views.current.homes(shard):
+            if state.is_self(home):
+                self.observe(service, key, notice, now_s)
+            else:
+                state.send(home, Kind.NOTICE, notice)
 
     def on_notice(
         self, header: TunnelHeader, notice: bytes, now_s: float
@@ -80,7 +89,7 @@
             if listener is None:
                 return
             service, key = listener.service, notice[FLOW_KEY]
-        self._pass_on(service, key, notice, header.position, now_s)
+        self.observe(service, key, notice, now_s)
 
     def observe(
         self, service: str, key: bytes, segment: bytes, now_s: float
@@ -126,26 +135,6 @@
             if not has_released_slot(binding.state):
                 self._observer.flow_released(key, binding.route, True, now_s)
 
-    def _pass_on(
-        self,
-        service: str,
-        key: bytes,
-        notice: bytes,
-        position: int,
-        now_s: float,
-    ) -> None:
-        state = self._state
-        homes = state.homes(service, key)
-        if position < len(homes) and state.is_self(homes[position]):
-            position += 1
-            self.observe(service, key, notice, now_s)
-        elif position:
-            # The sender has another view; this instance may hold an entry.
-            self.observe(service, key, notice, now_s)
-        is_for_owner_only = notice[FLAGS_OFFSET] & SYN and position
-        if position < len(homes) and not is_for_owner_only:
-            state.send(homes[position], Kind.NOTICE, notice, position=position)
-
     def _change(
         self,
         key: bytes,
--- a/siskinproxy/balancer/counters.py
+++ b/siskinproxy/balancer/counters.py
@@ -31,6 +31,8 @@
         Invariant violations.
     tunnel_datagrams : int
         Datagrams sent to other instances.
+    refused_by_reason : dict of str to int
+        The refused flows by `RefusedReason`.
     """
 
     forwarded: int = 0
@@ -52,7 +54,17 @@
     unreachable: int = 0
     violations: int = 0
     tunnel_datagrams: int = 0
+    refused_by_reason: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a refused flow."""
+        self.refused += 1
+        by_reason = self.refused_by_reason
+        by_reason[reason] = by_reason.get(reason, 0) + 1
 
     def as_dict(self) -> dict[str, int]:
-        """Return all counters by name."""
-        return msgspec.structs.asdict(self)
+        """Return all counters by name; refusals as ``refused_<reason>``."""
+        counters = msgspec.structs.asdict(self)
+        for reason, count in counters.pop('refused_by_reason').items():
+            counters[f'refused_{reason}'] = count
+        return counters
--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -376,6 +376,9 @@
         if state.views.has_views:
             earlier = state.views.current
         view_changed = state.views.push(view, now_s)
+        if view_changed:
+            # The membership protocol has judged all members anew.
+            state.suspects.clear()
         if view_changed and earlier is not None:
             self.copier.plan(earlier, view)
         if view_changed or configuration_changed:
@@ -388,6 +391,8 @@
         member = state.peers.get(header.sender)
         if member is not None:
             contact.note_contact(member.zone, now_s)
+            state.heard_s[header.sender] = now_s
+            self.opener.note_heard(member, now_s)
 
     def _update_reachability(self, now_s: float, *, force: bool) -> None:
         if now_s - self._contact_s < _CONTACT_PERIOD_S and not force:
--- a/siskinproxy/balancer/engine_state.py
+++ b/siskinproxy/balancer/engine_state.py
@@ -18,7 +18,12 @@
     member_id,
 )
 
-__all__ = ('REQUEST_LIFETIME_S', 'EngineState', 'Outbox')
+__all__ = ('REQUEST_LIFETIME_S', 'SUSPECT_S', 'EngineState', 'Outbox')
+
+#: An owner that has not acknowledged an opening segment for this time is
+#: suspected. It is longer than the pauses of a loaded Python process and leaves
+#: a request with a deadline of 1 s the time for a second try.
+SUSPECT_S: Final = 0.2
 
 #: A request flow without a segment for this time is forgotten by its homes.
 REQUEST_LIFETIME_S: Final = 120.0
@@ -55,6 +60,7 @@
     __slots__ = (
         'counters',
         'generation',
+        'heard_s',
         'identity',
         'learned',
         'limits',
@@ -66,6 +72,7 @@
         'rng',
         'routes',
         'streams',
+        'suspects',
         'views',
         'zones',
     )
@@ -87,6 +94,8 @@
         self.routes = RouteTable()
         self.zones: tuple[str, ...] = ()
         self.peers: dict[int, Member] = {}
+        self.heard_s: dict[int, float] = {}
+        self.suspects: set[str] = set()
         self.views = ViewHistory(limits.view_retention_s)
         self.zone_contact = ZoneContact(identity.zone, limits.sight_s)
         self.streams = RotatingTable(limits.flow_idle_s)
@@ -120,9 +129,26 @@
         return self.views.current.shard_of(service, key)
 
     def homes(self, service: str, key: bytes) -> tuple[Member, ...]:
-        """Return the homes of a flow under the current view."""
-        view = self.views.current
-        return view.homes(view.shard_of(service, key))
+        """Return the homes of a flow that are not suspected."""
+        return self.shard_homes(self.shard(service, key))
+
+    def shard_homes(self, shard: ShardKey) -> tuple[Member, ...]:
+        """Return the homes of a shard that are not suspected.
+
+        If all are suspected, the network is more likely at fault than all of
+        them, so all are returned.
+        """
+        homes = self.views.current.homes(shard)
+        if not self.suspects:
+            return homes
+        return (
+            tuple(home for home in homes if home.name not in self.suspects)
+            or homes
+        )
+
+    def was_heard(self, member: Member, since_s: float) -> bool:
+        """Tell whether a datagram of a member arrived since a time."""
+        return self.heard_s.get(member_id(member.name), -1) >= since_s
 
     def is_self(self, member: Member) -> bool:
         """Tell whether a member is this instance."""
--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -1,15 +1,21 @@
 """Opening of flows: the owner selects a target and informs the homes."""
 
+from collections import deque
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Final
 
-from siskinproxy.balancer.engine_state import EngineState
+from siskinproxy.balancer.engine_state import SUSPECT_S, EngineState
 from siskinproxy.balancer.routes import ListenerState, Route
 from siskinproxy.balancer.snapshot import Member
 from siskinproxy.callers.flow_state import has_released_slot
 from siskinproxy.callers.flow_table import Binding, FlowState
-from siskinproxy.callers.requests import Admitted, Queued, Refused
+from siskinproxy.callers.requests import (
+    Admitted,
+    Queued,
+    Refused,
+    RefusedReason,
+)
 from siskinproxy.fabric.segments import (
     FLOW_KEY,
     Endpoint,
@@ -20,8 +26,18 @@
     rewrite_destination,
     sequence_of,
 )
-from siskinproxy.instances.placement import ShardKey, targets_of_shard
-from siskinproxy.instances.tunnel import Kind, TunnelHeader, member_id
+from siskinproxy.instances.placement import (
+    HOME_COUNT,
+    ShardKey,
+    targets_of_shard,
+)
+from siskinproxy.instances.tunnel import (
+    CopyEntry,
+    Kind,
+    TunnelHeader,
+    encode_entries,
+    member_id,
+)
 from siskinproxy.targets.admission import ShardAdmission
 from siskinproxy.targets.limits import AdmissionLimits
 
@@ -39,6 +55,15 @@
 OPENING_LIFETIME_S: Final = 10.0
 
 _BROADCAST: Final = 255
+_ENTRIES_PER_DATAGRAM: Final = 50
+
+#: Mark in the flags of a SYN whose sender suspects the owner.
+_FAILOVER: Final = 0x80
+_ZONE_MASK: Final = 0x7F
+
+#: After a pause of the process, other homes may have opened its flows, so it
+#: asks them for this time.
+CAUTIOUS_S: Final = 2.0
 
 
 @dataclass(slots=True)
@@ -59,7 +84,19 @@
         Tables and views.
     """
 
-    __slots__ = ('_activated', '_openings', '_seen_s', '_state', 'admissions')
+    __slots__ = (
+        '_activated',
+        '_cautious_until_s',
+        '_ceded',
+        '_deputized',
+        '_openings',
+        '_owed',
+        '_polled_s',
+        '_seen_s',
+        '_state',
+        '_unacknowledged',
+        'admissions',
+    )
 
     def __init__(self, state: EngineState) -> None:
         self._state = state
@@ -67,6 +104,12 @@
         self._openings: dict[bytes, _Opening] = {}
         self._seen_s: dict[str, float] = {}
         self._activated = 0
+        self._unacknowledged: dict[str, deque[_Opening]] = {}
+        self._owed: set[int] = set()
+        self._deputized: dict[ShardKey, list[bytes]] = {}
+        self._ceded: dict[ShardKey, Member] = {}
+        self._polled_s: float | None = None
+        self._cautious_until_s = 0.0
 
     # Shards
 
@@ -74,6 +117,8 @@
         """Take over or give up shards after a change of view or targets."""
         state = self._state
         self._note_targets(now_s)
+        self._deputized.clear()
+        self._ceded.clear()
         owned = {
             shard for shard in state.views.current.shards() if self._owns(shard)
         }
@@ -95,8 +140,26 @@
                 now_s,
             )
 
+    def note_heard(self, member: Member, now_s: float) -> None:
+        """Record that a member is alive.
+
+        Opening segments sent to it are taken as received, and a deputy gives
+        the member's shards back.
+        """
+        self._unacknowledged.pop(member.name, None)
+        if member.name not in self._state.suspects:
+            return
+        self._state.suspects.discard(member.name)
+        for shard in list(self._deputized):
+            if self._state.shard_homes(shard)[0].name == member.name:
+                self._return_shard(shard, member, now_s)
+
     def poll(self, now_s: float) -> None:
         """Carry out decisions for queued flows and drop old openings."""
+        self._note_pause(now_s)
+        self._polled_s = now_s
+        self._acknowledge()
+        self._suspect_silent(now_s)
         self._activate_targets(now_s)
         for admission in list(self.admissions.values()):
             for key, decision in admission.poll(now_s):
@@ -129,6 +192,9 @@
         if listener is None:
             self._state.counters.unknown_service += 1
             return
+        self._owed.add(header.sender)
+        if header.flags & _FAILOVER:
+            self._check_owner(listener.service, segment[FLOW_KEY], now_s)
         zone = self._zone_of(header)
         self._route(segment, listener, zone, header.position + 1, now_s)
 
@@ -139,11 +205,15 @@
         sender = self._state.peers.get(header.sender)
         if sender is None:
             return
-        binding = self._state.home_binding(segment[FLOW_KEY])
+        key = segment[FLOW_KEY]
+        listener = self._listener(segment)
+        if listener is not None:
+            self._cede(self._state.shard(listener.service, key), sender)
+        binding = self._state.home_binding(key)
         if binding is None or not _is_live(binding):
             self._state.send(sender, Kind.FRESH, segment, flags=header.flags)
             return
-        self._repeat(segment, binding.route)
+        self._repeat(segment, binding.route, also=sender)
 
     def on_fresh(
         self, header: TunnelHeader, segment: bytes, now_s: float
@@ -170,7 +240,10 @@
             # instance that has it may send the segment.
             state.counters.unknown_service += 1
             return
-        state.store(key, route, FlowState.OPENING)
+        known = state.home_binding(key)
+        if known is None or known.route is not route or not _is_live(known):
+            state.store(key, route, FlowState.OPENING)
+            self.restore(key, route, now_s)
         if header.position == _BROADCAST:
             return
         homes = state.homes(route.listener.service, key)
@@ -246,13 +319,14 @@
 
     def _zone_of(self, header: TunnelHeader) -> str:
         zones = self._state.zones
-        if header.flags < len(zones):
-            return zones[header.flags]
+        index = header.flags & _ZONE_MASK
+        if index < len(zones):
+            return zones[index]
         return self._state.identity.zone
 
     def _zone_index(self, zone: str) -> int:
         zones = self._state.zones
-        return zones.index(zone) if zone in zones else _BROADCAST
+        return zones.index(zone) if zone in zones else _ZONE_MASK
 
     def _route(
         self,
@@ -265,13 +339,123 @@
         state = self._state
         key = segment[FLOW_KEY]
         shard = state.shard(listener.service, key)
-        homes = state.views.current.homes(shard)
-        if shard in self.admissions or not homes or hops > MAX_OPEN_HOPS:
-            opening = _Opening(segment, zone, now_s)
+        opening = _Opening(segment, zone, now_s)
+        owner = self._acting_owner(shard)
+        if owner is None or hops > MAX_OPEN_HOPS:
+            self._act_as_owner(shard, now_s)
             self._open_or_look_up(key, opening, listener, now_s)
             return
         flags = self._zone_index(zone)
-        state.send(homes[0], Kind.OPEN, segment, position=hops, flags=flags)
+        homes = state.views.current.homes(shard)
+        if homes and owner.name != homes[0].name:
+            flags |= _FAILOVER
+        sent = self._unacknowledged.setdefault(owner.name, deque())
+        sent.append(opening)
+        state.send(owner, Kind.OPEN, segment, position=hops, flags=flags)
+
+    def _acting_owner(self, shard: ShardKey) -> Member | None:
+        """Return the other instance that decides, or None if it is this."""
+        state = self._state
+        if shard in self.admissions:
+            return None
+        ceded = self._ceded.get(shard)
+        if ceded is not None and ceded.name not in state.suspects:
+            return ceded
+        homes = state.shard_homes(shard)
+        if not homes or state.is_self(homes[0]):
+            return None
+        return homes[0]
+
+    def _act_as_owner(self, shard: ShardKey, now_s: float) -> None:
+        """Decide for a shard whose owner is suspected."""
+        if shard in self.admissions:
+            return
+        if shard.service not in self._state.routes.services:
+            return
+        self._deputized[shard] = []
+        self._apply_shard(shard, now_s)
+
+    def _check_owner(self, service: str, key: bytes, now_s: float) -> None:
+        """Suspect the owner on a peer's word unless it was heard lately."""
+        state = self._state
+        homes = state.views.current.homes(state.shard(service, key))
+        for home in homes:
+            if state.is_self(home):
+                return
+            if state.was_heard(home, now_s - SUSPECT_S):
+                return
+            state.suspects.add(home.name)
+
+    def _acknowledge(self) -> None:
+        """Show the senders of opening segments that this owner is alive.
+
+        One datagram in each timer period answers all segments of a sender.
+        """
+        for sender_id in self._owed:
+            sender = self._state.peers.get(sender_id)
+            if sender is not None:
+                self._state.send(sender, Kind.HELLO)
+        self._owed.clear()
+
+    def _suspect_silent(self, now_s: float) -> None:
+        """Send the SYNs of silent owners to the next homes."""
+        for name, sent in list(self._unacknowledged.items()):
+            if not sent or now_s - sent[0].since_s < SUSPECT_S:
+                continue
+            self._state.suspects.add(name)
+            self._unacknowledged.pop(name)
+            for opening in sent:
+                listener = self._listener(opening.segment)
+                if listener is not None:
+                    self._fail_over(opening, listener, now_s)
+
+    def _fail_over(
+        self, opening: _Opening, listener: ListenerState, now_s: float
+    ) -> None:
+        """Send a SYN to the next home, once; the caller repeats it else."""
+        zone = opening.ingress_zone
+        self._route(opening.segment, listener, zone, 0, now_s)
+        key = opening.segment[FLOW_KEY]
+        shard = self._state.shard(listener.service, key)
+        owner = self._acting_owner(shard)
+        if owner is not None:
+            self._unacknowledged[owner.name].pop()
+
+    def _note_pause(self, now_s: float) -> None:
+        """Detect that the process did not run, as after SIGSTOP."""
+        polled_s = self._polled_s
+        if polled_s is not None and now_s - polled_s > SUSPECT_S:
+            self._cautious_until_s = now_s + CAUTIOUS_S
+            self._polled_s = now_s
+            self._unacknowledged.clear()
+
+    def _return_shard(
+        self, shard: ShardKey, owner: Member, now_s: float
+    ) -> None:
+        """Give a shard back to its owner with the flows opened meanwhile."""
+        self.admissions.pop(shard, None)
+        keys = self._deputized.pop(shard)
+        entries = []
+        for key in keys:
+            binding = self._state.home_binding(key)
+            if binding is not None and _is_live(binding):
+                entries.append(
+                    CopyEntry(key, binding.route.endpoint, binding.state),
+                )
+        for start in range(0, len(entries), _ENTRIES_PER_DATAGRAM):
+            batch = entries[start : start + _ENTRIES_PER_DATAGRAM]
+            self._state.send(owner, Kind.COPY, encode_entries(batch))
+        self._forward_lost(now_s)
+
+    def _cede(self, shard: ShardKey, sender: Member) -> None:
+        """Leave a shard to the instance that asks about its flows."""
+        homes = self._state.shard_homes(shard)
+        is_home = any(home.name == sender.name for home in homes)
+        if shard not in self.admissions or not is_home:
+            return
+        self.admissions.pop(shard)
+        self._deputized.pop(shard, None)
+        self._ceded[shard] = sender
 
     def _open_or_look_up(
         self,
@@ -285,17 +469,22 @@
         if binding is not None and _is_live(binding):
             self._repeat(opening.segment, binding.route)
             return
-        earlier = self._earlier_owner(listener.service, key)
+        earlier = self._other_owner(listener.service, key, now_s)
         if earlier is None:
             self._open(key, opening, listener, now_s)
             return
         flags = self._zone_index(opening.ingress_zone)
         state.send(earlier, Kind.LOOKUP, opening.segment, flags=flags)
 
-    def _earlier_owner(self, service: str, key: bytes) -> Member | None:
-        """Return a live earlier owner whose entries may be missing here."""
+    def _other_owner(
+        self, service: str, key: bytes, now_s: float
+    ) -> Member | None:
+        """Return another instance that may have opened the flow."""
         state = self._state
         current = state.homes(service, key)
+        if now_s < self._cautious_until_s:
+            others = [home for home in current if not state.is_self(home)]
+            return others[0] if others else None
         for view in state.views.earlier:
             homes = view.homes(view.shard_of(service, key))
             if any(state.is_self(home) for home in homes):
@@ -318,7 +507,7 @@
             self._state.counters.unknown_flow += 1
             return
         if len(self._state.streams) >= self._state.limits.home_flows:
-            self._refuse(key, opening)
+            self._refuse(key, opening, RefusedReason.NO_CAPACITY)
             return
         decision = admission.open(
             key,
@@ -367,12 +556,17 @@
                 listener.endpoint,
             )
         if route is None:
-            self._refuse(key, opening)
+            self._refuse(key, opening, RefusedReason.NO_TARGET)
             return
         state.counters.opened += 1
         state.store(key, route, FlowState.OPENING)
+        deputized = self._deputized.get(
+            state.shard(route.listener.service, key),
+        )
+        if deputized is not None:
+            deputized.append(key)
         homes = state.homes(route.listener.service, key)
-        self._pass_on(opening.segment, route, homes, 1)
+        self._pass_on(opening.segment, route, homes, 0)
 
     @_carry_out.register
     def _wait(
@@ -384,10 +578,12 @@
     def _reject(
         self, decision: Refused, key: bytes, opening: _Opening, now_s: float
     ) -> None:
-        self._refuse(key, opening)
+        self._refuse(key, opening, decision.reason)
 
-    def _refuse(self, key: bytes, opening: _Opening) -> None:
-        self._state.counters.refused += 1
+    def _refuse(
+        self, key: bytes, opening: _Opening, reason: RefusedReason
+    ) -> None:
+        self._state.counters.count_refusal(reason.value)
         self._openings.pop(key, None)
         binding = self._state.home_binding(key)
         if binding is not None:
@@ -399,31 +595,38 @@
         segment: bytes,
         route: Route,
         homes: tuple[Member, ...],
-        position: int,
+        hops: int,
     ) -> None:
-        """Send the SYN to the next home or, at the last one, to the target."""
+        """Send the SYN to the home after this one or, if last, the target."""
         state = self._state
-        while position < len(homes) and state.is_self(homes[position]):
-            position += 1
-        if position < len(homes):
+        names = [home.name for home in homes]
+        following = len(names)
+        if state.identity.name in names:
+            following = names.index(state.identity.name) + 1
+        if following < len(names) and hops < HOME_COUNT - 1:
             state.send(
-                homes[position],
+                homes[following],
                 Kind.REPLICATE,
                 segment,
                 route.endpoint,
-                position,
+                hops,
             )
             return
         self._send_syn(segment, route)
 
-    def _repeat(self, segment: bytes, route: Route) -> None:
+    def _repeat(
+        self, segment: bytes, route: Route, also: Member | None = None
+    ) -> None:
         """Repeat a SYN without depending on each home in turn.
 
         A home that does not respond may be the reason for the repetition.
         """
         state = self._state
         key = segment[FLOW_KEY]
-        for home in state.homes(route.listener.service, key):
+        homes = state.homes(route.listener.service, key)
+        if also is not None and also not in homes:
+            homes += (also,)
+        for home in homes:
             if not state.is_self(home):
                 state.send(
                     home,
@@ -481,7 +684,7 @@
                 AdmissionLimits(takeover_s=state.limits.takeover_s),
                 state.rng,
                 now_s,
-                takeover=bool(state.views.earlier),
+                takeover=self._follows_failure(shard),
             )
             self.admissions[shard] = admission
         limit_s = now_s - TARGET_ACTIVATION_S
@@ -494,6 +697,20 @@
         if is_new:
             self._restore_shard(shard, admission, now_s)
 
+    def _follows_failure(self, shard: ShardKey) -> bool:
+        """Tell whether an earlier owner may go on deciding unnoticed.
+
+        A live earlier owner cedes the shard when it is asked for a flow.
+        """
+        state = self._state
+        if shard in self._deputized:
+            return True
+        for view in state.views.earlier[:1]:
+            homes = view.homes(shard)
+            if homes and not state.is_self(homes[0]):
+                return member_id(homes[0].name) not in state.peers
+        return False
+
     def _restore_shard(
         self, shard: ShardKey, admission: ShardAdmission, now_s: float
     ) -> None:
--- a/siskinproxy/measure/world.py
+++ b/siskinproxy/measure/world.py
@@ -16,7 +16,13 @@
 
 from siskinproxy.balancer.settings import Limits
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
-from siskinproxy.fabric.segments import Endpoint, unpack_endpoint
+from siskinproxy.fabric.segments import (
+    FLAGS_OFFSET,
+    RST,
+    Endpoint,
+    build_abort,
+    unpack_endpoint,
+)
 from siskinproxy.instances.tunnel import Kind
 from siskinproxy.operators.configuration import Configuration, Target
 from siskinproxy.standins.caller_flow import RequestFlow, StreamFlow
@@ -100,7 +106,7 @@
         self.is_frozen = False
         self.has_control = True
         self.backlog: deque[Callable[[], None]] = deque(maxlen=_SOCKET_BUFFER)
-        self.snapshot: RoutingSnapshot | None = None
+        self.serial = 0
         self.missed_snapshot: RoutingSnapshot | None = None
 
 
@@ -312,21 +318,28 @@
     def announce(self, first: str = '') -> None:
         """Send the current state to all instances after random delays."""
         snapshot = RoutingSnapshot(self.generation, self.cfg, self.members)
+        serial = next(self._order)
         for name, instance in self.instances.items():
             if instance.is_alive:
                 delay_s = 0 if name == first else self._spread()
-                self.schedule(delay_s, self.deliver, instance, snapshot)
+                self.schedule(
+                    delay_s,
+                    self.deliver,
+                    instance,
+                    snapshot,
+                    serial,
+                )
 
     def deliver(
-        self, instance: FakeInstance, snapshot: RoutingSnapshot
+        self, instance: FakeInstance, snapshot: RoutingSnapshot, serial: int
     ) -> None:
         """Apply a snapshot at an instance unless a newer one was applied."""
-        if not instance.is_alive:
+        if not instance.is_alive or serial < instance.serial:
             return
+        instance.serial = serial
         if instance.is_frozen or not instance.has_control:
             instance.missed_snapshot = snapshot
             return
-        instance.snapshot = snapshot
         instance.engine.apply_snapshot(snapshot, self.now_s)
 
     # Network
@@ -481,6 +494,9 @@
     def _receive_at_caller(self, endpoint: Endpoint, segment: bytes) -> None:
         flow = self.callers.get(endpoint)
         if flow is None:
+            # The kernel of a caller that gave up resets the connection.
+            if not segment[FLAGS_OFFSET] & RST:
+                self.send_from_caller([build_abort(segment)])
             return
         self._note(b'caller', segment)
         self.send_from_caller(flow.on_datagram(segment, self.now_s))
@@ -545,7 +561,13 @@
         missed = instance.missed_snapshot
         instance.missed_snapshot = None
         if missed is not None:
-            self.schedule(self._spread(), self.deliver, instance, missed)
+            self.schedule(
+                self._spread(),
+                self.deliver,
+                instance,
+                missed,
+                instance.serial,
+            )
 
     def _return_member(self, name: str) -> None:
         instance = self.instances[name]
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -71,7 +71,8 @@
         Current time in seconds.
     takeover : bool
         Whether another instance may still act as owner, so that only half of
-        each limit is granted for ``limits.takeover_s``.
+        the limits of targets that warm up is granted for
+        ``limits.takeover_s``.
     """
 
     def __init__(
@@ -699,7 +700,7 @@
         state.warmup = None
 
     def _update_limits(self, warm: list[TargetState], now_s: float) -> None:
-        divisor = 2 if now_s < self._half_until_s else 1
+        is_takeover = now_s < self._half_until_s
         mean_streams = _mean(state.streams.count for state in warm)
         for state in self._states.values():
             slots = state.target.slots
@@ -710,8 +711,13 @@
                 # ramp instead of taking all new flows until then.
                 full = min(mean_streams or connections, connections)
                 connections = state.warmup.limit(full)
-            state.request_limit = max(slots // divisor, 1)
-            state.stream_limit = max(connections // divisor, 1)
+                if is_takeover:
+                    # A warm target refuses what exceeds its slots, but a cold
+                    # one fails, so only its limit is halved.
+                    slots //= 2
+                    connections //= 2
+            state.request_limit = max(slots, 1)
+            state.stream_limit = max(connections, 1)
 
 
 def _mean(numbers: Iterable[float]) -> float:
