Stop treating unseen acceptances of long flows as refusals

Cause: only one in eight acceptances passes the owner, so records that ended after 5 s counted as unanswered opening segments, and two in a row started a warm-up. Ruled out: the connection limit (utilization below 0.1). A caller repeats an unanswered SYN, and the repetition reaches the owner, so the end of the record is no evidence for long-lived flows.

--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -547,12 +547,14 @@
             record = heapq.heappop(self._expiry)[2]
             if self._flows.get(record.key) is not record:
                 continue
+            if record.listener.mode == 'stream':
+                # Few responses pass the owner, so a missing acceptance alone
+                # is no evidence while the flow is open.
+                self._flows.pop(record.key)
+                continue
             if not (record.accepted or record.unanswered):
                 self._note_unanswered(record, now_s)
-            if record.listener.mode == 'request':
-                self._remove(record, now_s)
-            else:
-                self._flows.pop(record.key)
+            self._remove(record, now_s)
 
     def _full_rate_per_s(self, state: TargetState, mode: Mode) -> float:
         target = state.target
--- a/siskinproxy/targets/tests/test_admission.py
+++ b/siskinproxy/targets/tests/test_admission.py
@@ -275,3 +275,13 @@
     assert not shard._flows
     close_flow(shard, 2999, target, 0.03, STREAMS)
     assert sum(report.connections for report in shard.report(0.03)) == 2999
+
+
+def test_streams_that_stay_open_start_no_warm_up():
+    """Guards against cold starts inferred from responses elsewhere."""
+    shard = build_shard()
+    for number in range(30):
+        open_flow(shard, number, 0.0, STREAMS)
+    shard.poll(6.0)
+    states = {report.status for report in shard.report(6.0)}
+    assert states == {TargetStatus.WARM}
