Estimate queue waits with overtaking arrivals and a completion bound

Cause: the estimate ignored more important flows that arrive later, and reserved only the mean completion time, while a full queue has no slack. Ruled out: wrong completion times (slots are busy at 0.975 throughout). The estimate now subtracts the arrival rate of more important classes and reserves the mean plus four mean deviations.

--- a/siskinproxy/callers/admission_queue.py
+++ b/siskinproxy/callers/admission_queue.py
@@ -1,12 +1,16 @@
 """Flows that wait for a target, by priority class."""
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Final
 
 from siskinproxy.operators.configuration import Listener
 
 __all__ = ('AdmissionQueue', 'QueuedFlow')
 
+ARRIVAL_WINDOW_S: Final = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedFlow:
@@ -39,6 +43,8 @@
     def __init__(self) -> None:
         self._flows: dict[bytes, QueuedFlow] = {}
         self._classes: dict[int, dict[bytes, QueuedFlow]] = {}
+        self._arrivals: deque[tuple[float, int]] = deque()
+        self._rates: dict[int, int] = {}
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -103,6 +109,41 @@
             if number <= priority
         )
 
+    def note_arrival(self, priority: int, now_s: float) -> None:
+        """Count a new flow for the arrival rate of its class.
+
+        Parameters
+        ----------
+        priority : int
+            Priority class.
+        now_s : float
+            Current time in seconds.
+        """
+        self._discard(now_s)
+        self._arrivals.append((now_s, priority))
+        self._rates[priority] = self._rates.get(priority, 0) + 1
+
+    def more_important_rate_per_s(self, priority: int, now_s: float) -> float:
+        """Return the arrival rate of flows that overtake a class.
+
+        Parameters
+        ----------
+        priority : int
+            Priority class that waits.
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float
+            Arrivals of more important classes in the last second.
+        """
+        self._discard(now_s)
+        arrivals = sum(
+            count for number, count in self._rates.items() if number < priority
+        )
+        return arrivals / ARRIVAL_WINDOW_S
+
     def count_more_important(self, priority: int) -> int:
         """Return the number of flows in more important classes.
 
@@ -117,3 +158,9 @@
             Flows of the classes with a lower number.
         """
         return self.count_ahead(priority - 1)
+
+    def _discard(self, now_s: float) -> None:
+        oldest_s = now_s - ARRIVAL_WINDOW_S
+        while self._arrivals and self._arrivals[0][0] <= oldest_s:
+            _, priority = self._arrivals.popleft()
+            self._rates[priority] -= 1
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -46,6 +46,9 @@
 UNANSWERED_S: Final = 0.9
 #: Slowdown relative to the peers above which a warm-up is held.
 HOLD_FACTOR: Final = 2.0
+#: Mean deviations above the mean completion time that are reserved before the
+#: deadline of a queued flow, as in the retransmission timeout of RFC 6298.
+DEVIATIONS: Final = 4
 _MS_PER_S: Final = 1000.0
 
 _Decision = Admitted | Refused
@@ -100,6 +103,7 @@
         self._budget = RetryBudget(limits.retry_share, limits.retry_floor_per_s)
         self._refreshed_s = -math.inf
         self._completion_s = limits.default_completion_s
+        self._completion_bound_s = limits.default_completion_s
         self._mean_busy_s: dict[Mode, float] = {'request': 0, 'stream': 0}
 
     def apply(
@@ -183,6 +187,7 @@
         repeated = self._repeated(key, now_s)
         if repeated is not None:
             return repeated
+        self._queue.note_arrival(listener.priority, now_s)
         self._dispatch(now_s)
         deadline_at_s = now_s + listener.deadline_ms / _MS_PER_S
         flow = QueuedFlow(key, listener, ingress_zone, now_s, deadline_at_s)
@@ -597,13 +602,15 @@
         )
         if rate_per_s == 0:
             return RefusedReason.NO_CAPACITY
-        completion_s = self._completion_s if mode == 'request' else 0
-        remaining_s = flow.deadline_at_s - now_s - completion_s
-        if (ahead + 1) / rate_per_s <= remaining_s:
-            return None
         priority = flow.listener.priority
+        overtaking = self._queue.more_important_rate_per_s(priority, now_s)
+        remaining_s = flow.deadline_at_s - now_s
+        if mode == 'request':
+            remaining_s -= self._completion_bound_s
+        if ahead + 1 <= remaining_s * (rate_per_s - overtaking):
+            return None
         overtaken = self._queue.count_more_important(priority)
-        if (ahead - overtaken + 1) / rate_per_s <= remaining_s:
+        if ahead - overtaken + 1 <= remaining_s * rate_per_s:
             return RefusedReason.LOWER_PRIORITY
         return RefusedReason.QUEUE_DEADLINE
 
@@ -674,8 +681,16 @@
             for state in self._states.values()
             if state.serves and state.evidence.recent_completion_s
         ]
-        if times:
-            self._completion_s = statistics.median(times)
+        if not times:
+            return
+        self._completion_s = statistics.median(times)
+        bounds = (
+            state.evidence.recent_completion_s
+            + DEVIATIONS * state.evidence.recent_deviation_s
+            for state in self._states.values()
+            if state.serves and state.evidence.recent_completion_s
+        )
+        self._completion_bound_s = statistics.median(bounds)
 
     def _update_stalls(self, serving: list[TargetState], now_s: float) -> None:
         levels = [state.stall_level(now_s) for state in serving]
--- a/siskinproxy/targets/evidence.py
+++ b/siskinproxy/targets/evidence.py
@@ -64,6 +64,7 @@
         '_resets',
         '_slowdowns',
         'recent_completion_s',
+        'recent_deviation_s',
     )
 
     def __init__(self) -> None:
@@ -72,6 +73,7 @@
         self._refusals = 0
         self._resets = 0
         self.recent_completion_s: float = 0
+        self.recent_deviation_s: float = 0
 
     @property
     def refusals(self) -> int:
@@ -140,10 +142,7 @@
             self._slowdowns.append(duration_s / known_s)
         if warm:
             self._baselines.setdefault(port, _Baseline()).add(duration_s)
-        recent_s = self.recent_completion_s or duration_s
-        self.recent_completion_s = recent_s + RECENT_WEIGHT * (
-            duration_s - recent_s
-        )
+        self._note_recent(duration_s)
 
     def note_abandoned(self, port: int, duration_s: float) -> None:
         """Count a request that its caller gave up.
@@ -187,6 +186,14 @@
             return ColdStartReason.SLOW_COMPLETIONS
         return None
 
+    def _note_recent(self, duration_s: float) -> None:
+        difference_s = duration_s - (self.recent_completion_s or duration_s)
+        self.recent_completion_s = (
+            duration_s - (1 - RECENT_WEIGHT) * difference_s
+        )
+        deviation_s = abs(difference_s) - self.recent_deviation_s
+        self.recent_deviation_s += RECENT_WEIGHT * deviation_s
+
     def restart(self) -> None:
         """Forget everything except baselines and refusals in a row."""
         self._slowdowns.clear()
