--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -366,6 +366,8 @@
     def __init__(self, command: str, detail: str) -> None:
         super().__init__(f'command={command} detail="{detail}"')
         self.command = command
+
+
 class StoreAccessError(StoreError):
     """The store rejected the token of the call, which had no effect."""
 
--- a/siskinproxy/standins/caller.py
+++ b/siskinproxy/standins/caller.py
@@ -17,6 +17,7 @@
 from gevent import socket
 from hdrh.histogram import HdrHistogram
 
+from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.fabric.segments import Endpoint
 from siskinproxy.standins.caller_flow import (
     Outcome,
@@ -24,7 +25,6 @@
     StreamFlow,
 )
 from siskinproxy.standins.control_port import ControlServer
-from siskinproxy.standins.event_log import EventLog, install_handler
 from siskinproxy.standins.messages import Request
 from siskinproxy.standins.process import (
     MAX_DATAGRAM_BYTES,
@@ -40,6 +40,9 @@
 #: Wait before a long flow that was not established is tried again.
 _REOPEN_S: Final = 0.2
 _MAX_DURATION_MS: Final = 600_000
+_FAULTS: Final = frozenset(
+    (Outcome.UNKNOWN, Outcome.BROKEN, Outcome.MISMATCHED),
+)
 
 _Response = Mapping[str, Any]
 _Command = Callable[..., _Response]
@@ -99,9 +102,20 @@
         self.established_total = 0
         self.chunks = 0
         self.ids: dict[Outcome, list[str]] = defaultdict(list)
-        self.broken: list[dict[str, Any]] = []
+        self.faults: list[dict[str, Any]] = []
         self.durations_ms = HdrHistogram(1, _MAX_DURATION_MS, 3)
 
+    def add_fault(self, flow: RequestFlow | StreamFlow) -> None:
+        fault = {
+            'id': flow.request.id,
+            'outcome': flow.outcome,
+            'caller': f'{flow.local.address}:{flow.local.port}',
+            'target': flow.target,
+            'detail': flow.detail,
+            'unix_s': time.time(),
+        }
+        self.faults.append(fault)
+
     def stats(self) -> dict[str, Any]:
         counts = {outcome.value: len(self.ids[outcome]) for outcome in Outcome}
         return {
@@ -208,6 +222,8 @@
         flow = self.request(record.load)
         record.in_progress -= 1
         record.ids[flow.outcome].append(flow.request.id)
+        if flow.outcome in _FAULTS:
+            record.add_fault(flow)
         if flow.outcome == Outcome.ANSWERED:
             duration_s = flow.ended_s - flow.opened_s
             record.durations_ms.record_value(max(1, int(duration_s * 1000)))
@@ -220,15 +236,8 @@
             flow = self._run_stream(record)
             record.in_progress -= 1
             record.ids[flow.outcome].append(flow.request.id)
-            if flow.outcome in {Outcome.BROKEN, Outcome.MISMATCHED}:
-                record.broken.append(
-                    {
-                        'id': flow.request.id,
-                        'target': flow.target,
-                        'detail': flow.detail,
-                        'unix_s': time.time(),
-                    },
-                )
+            if flow.outcome in _FAULTS:
+                record.add_fault(flow)
             gevent.sleep(_REOPEN_S)
 
     def _run_stream(self, record: _Record) -> StreamFlow:
@@ -397,7 +406,7 @@
 
     def _outcomes(self) -> _Response:
         return {
-            name: {'ids': record.ids, 'broken': record.broken}
+            name: {'ids': record.ids, 'faults': record.faults}
             for name, record in self._pool.records.items()
         }
 
@@ -427,7 +436,7 @@
     seed : int
         Seed of the random choices.
     """
-    install_handler()
+    set_up_logs()
     pool = CallerPool(
         name,
         tuple(addresses.split()),
--- a/siskinproxy/standins/caller_flow.py
+++ b/siskinproxy/standins/caller_flow.py
@@ -52,6 +52,7 @@
         initial_sequence: int,
         deadline_s: float,
     ) -> None:
+        self.local = local
         self.request = request
         self.outcome: Outcome | None = None
         self.detail = ''
@@ -134,7 +135,7 @@
         connection = self._connection
         return (segment.source, segment.destination) == (
             connection.remote,
-            connection.local,
+            self.local,
         )
 
     def _on_reset(self, was_opening: bool, now_s: float) -> None:
--- a/siskinproxy/standins/fabric.py
+++ b/siskinproxy/standins/fabric.py
@@ -16,13 +16,13 @@
 import gevent
 import msgspec
 
+from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.fabric.segments import (
     Endpoint,
     is_ipv4_tcp,
     unpack_endpoint,
 )
 from siskinproxy.standins.control_port import ControlServer
-from siskinproxy.standins.event_log import EventLog, install_handler
 from siskinproxy.standins.process import (
     MAX_DATAGRAM_BYTES,
     StopEvent,
@@ -392,7 +392,7 @@
     list_lag_s : float
         Lag of the instance list, in seconds.
     """
-    install_handler()
+    set_up_logs()
     faults = FabricFaults(
         loss=float(loss),
         duplication=float(duplication),
--- a/siskinproxy/standins/target.py
+++ b/siskinproxy/standins/target.py
@@ -11,9 +11,9 @@
 import gevent
 import msgspec
 
+from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.fabric.segments import Endpoint
 from siskinproxy.standins.control_port import ControlServer
-from siskinproxy.standins.event_log import EventLog, install_handler
 from siskinproxy.standins.process import (
     MAX_DATAGRAM_BYTES,
     StopEvent,
@@ -156,7 +156,10 @@
 
     def _executions(self) -> _Response:
         return {
-            name: dict(server.executions)
+            name: {
+                'executions': server.executions,
+                'accepted': sorted(server.accepted),
+            }
             for name, server in self._servers.items()
         }
 
@@ -183,7 +186,7 @@
     seed : int
         Seed of the initial sequence numbers.
     """
-    install_handler()
+    set_up_logs()
     settings = msgspec.json.decode(
         Path(targets_file).read_bytes(),
         type=tuple[TargetSettings, ...],
--- a/siskinproxy/standins/target_server.py
+++ b/siskinproxy/standins/target_server.py
@@ -138,6 +138,8 @@
         Events by name.
     executions : collections.Counter
         Executions by request id; more than 1 is a doubled request.
+    accepted : set of str
+        Callers, as ``address:port``, whose connection was accepted.
     """
 
     def __init__(
@@ -149,6 +151,7 @@
         self.settings = settings
         self.counters: Counter[str] = Counter()
         self.executions: Counter[str] = Counter()
+        self.accepted: set[str] = set()
         self.flags = {'drain': False, 'shed': False, 'lie': False}
         self._rng = rng
         self._flows: dict[tuple[int, Endpoint], _Flow] = {}
@@ -309,6 +312,7 @@
         )
         flow = _Flow((port, segment.source), connection, mode)
         self._flows[flow.key] = flow
+        self.accepted.add(f'{segment.source.address}:{segment.source.port}')
         self._open_flows[mode] += 1
         packets = connection.open(now_s)
         self._schedule_retransmission(flow)
