--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -66,7 +66,7 @@
         rng: random.Random,
     ) -> None:
         self.state = EngineState(identity, outbox, limits, rng)
-        self.opener = FlowOpener(self.state)
+        self.opener = self._create_opener()
         self.closer = FlowCloser(self.state, self.opener)
         self.copier = FlowCopier(self.state, self.opener)
         self._hello_s = 0.0
@@ -181,6 +181,9 @@
         self._update_reachability(now_s, force=False)
         self._send_hellos(now_s)
 
+    def _create_opener(self) -> FlowOpener:
+        return FlowOpener(self.state)
+
     # Segments from callers
 
     def _on_transition(self, segment: bytes, now_s: float) -> None:
--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -678,14 +678,7 @@
         admission = self.admissions.get(shard)
         is_new = admission is None
         if admission is None:
-            admission = ShardAdmission(
-                shard.service,
-                shard.index,
-                AdmissionLimits(takeover_s=state.limits.takeover_s),
-                state.rng,
-                now_s,
-                takeover=self._follows_failure(shard),
-            )
+            admission = self._create_admission(shard, now_s)
             self.admissions[shard] = admission
         limit_s = now_s - TARGET_ACTIVATION_S
         targets = tuple(
@@ -697,6 +690,18 @@
         if is_new:
             self._restore_shard(shard, admission, now_s)
 
+    def _create_admission(
+        self, shard: ShardKey, now_s: float
+    ) -> ShardAdmission:
+        return ShardAdmission(
+            shard.service,
+            shard.index,
+            AdmissionLimits(takeover_s=self._state.limits.takeover_s),
+            self._state.rng,
+            now_s,
+            takeover=self._follows_failure(shard),
+        )
+
     def _follows_failure(self, shard: ShardKey) -> bool:
         """Tell whether an earlier owner may go on deciding unnoticed.
 
--- /dev/null
+++ b/siskinproxy/measure/independent_admission.py
@@ -0,0 +1,170 @@
+"""Admission policies in which each instance decides by itself (baselines)."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from siskinproxy.balancer.engine import PacketEngine
+from siskinproxy.balancer.opening import FlowOpener
+from siskinproxy.balancer.settings import Limits
+from siskinproxy.balancer.snapshot import Member
+from siskinproxy.callers.requests import (
+    Admitted,
+    AdmittedReason,
+    Queued,
+    Refused,
+    RefusedReason,
+)
+from siskinproxy.instances.placement import ShardKey
+from siskinproxy.measure.world import WorldOutbox
+from siskinproxy.operators.configuration import Listener, Service, Target
+
+__all__ = ('IndependentEngine', 'LoadReports', 'least_reported', 'round_robin')
+
+#: Reported busy slots by target name; lags behind the targets.
+LoadReports = dict[str, float]
+
+_MAX_TRIES: Final = 2
+
+_Select = Callable[[list[Target], int], Target]
+
+
+def round_robin(reports: LoadReports) -> _Select:
+    """Return a policy that takes the targets in turn."""
+
+    def select(targets: list[Target], turn: int) -> Target:
+        return targets[turn % len(targets)]
+
+    return select
+
+
+def least_reported(reports: LoadReports) -> _Select:
+    """Return a policy that takes the target with the lowest report."""
+
+    def select(targets: list[Target], turn: int) -> Target:
+        return min(targets, key=lambda target: reports.get(target.name, 0))
+
+    return select
+
+
+class _IndependentAdmission:
+    """Admission of one instance without limits and knowledge of others."""
+
+    def __init__(self, select: _Select, rng: random.Random) -> None:
+        self._select = select
+        self._turn = rng.randrange(1000)
+        self._targets: tuple[Target, ...] = ()
+        self._zones_out: frozenset[str] = frozenset()
+        self._tries: dict[bytes, int] = {}
+
+    def apply(
+        self,
+        service: Service,
+        targets: tuple[Target, ...],
+        zones_out: frozenset[str],
+        now_s: float,
+    ) -> None:
+        self._targets = targets
+        self._zones_out = zones_out
+
+    def open(
+        self,
+        key: bytes,
+        listener: Listener,
+        ingress_zone: str,
+        reachable_zones: frozenset[str],
+        now_s: float,
+    ) -> Admitted | Refused:
+        usable = [
+            target
+            for target in self._targets
+            if not target.draining and target.zone not in self._zones_out
+        ]
+        if not usable:
+            return Refused(RefusedReason.NO_TARGET)
+        self._turn += 1
+        self._tries[key] = self._tries.get(key, 0) + 1
+        target = self._select(usable, self._turn)
+        return Admitted(target, AdmittedReason.BALANCED)
+
+    def target_refused(self, key: bytes, now_s: float) -> Admitted | Refused:
+        if self._tries.get(key, _MAX_TRIES) >= _MAX_TRIES:
+            return Refused(RefusedReason.NO_CAPACITY)
+        no_listener = Listener('0.0.0.0', 0, 0)  # noqa: S104
+        return self.open(key, no_listener, '', frozenset(), now_s)
+
+    def accepted(self, key: bytes, now_s: float) -> None:
+        self._tries.pop(key, None)
+
+    def cancel(self, key: bytes, now_s: float) -> None:
+        self._tries.pop(key, None)
+
+    def closed(self, key: bytes, *ignored: object) -> None:
+        self._tries.pop(key, None)
+
+    def restore(self, *ignored: object) -> None:
+        """Keep no record of flows."""
+
+    def poll(
+        self, now_s: float
+    ) -> tuple[tuple[bytes, Admitted | Queued | Refused], ...]:
+        return ()
+
+
+class _IndependentOpener(FlowOpener):
+    """Decides for each SYN at the instance that got it from the fabric."""
+
+    __slots__ = ('_select',)
+
+    def use(self, select: _Select) -> None:
+        self._select = select
+
+    def _acting_owner(self, shard: ShardKey) -> Member | None:
+        return None
+
+    def _owns(self, shard: ShardKey) -> bool:
+        return True
+
+    def _other_owner(
+        self, service: str, key: bytes, now_s: float
+    ) -> Member | None:
+        return None
+
+    def _create_admission(
+        self, shard: ShardKey, now_s: float
+    ) -> _IndependentAdmission:
+        return _IndependentAdmission(self._select, self._state.rng)
+
+
+class IndependentEngine(PacketEngine):
+    """Packet engine whose ingress instances admit flows independently.
+
+    Parameters
+    ----------
+    identity : Member
+        The instance itself.
+    outbox : WorldOutbox
+        Where datagrams are sent.
+    limits : Limits
+        Bounds and times from the settings.
+    rng : random.Random
+        Source of randomness.
+    select : callable
+        `round_robin` or `least_reported`, applied to the reports.
+    """
+
+    def __init__(
+        self,
+        identity: Member,
+        outbox: WorldOutbox,
+        limits: Limits,
+        rng: random.Random,
+        select: _Select,
+    ) -> None:
+        self._select = select
+        super().__init__(identity, outbox, limits, rng)
+
+    def _create_opener(self) -> FlowOpener:
+        opener = _IndependentOpener(self.state)
+        opener.use(self._select)
+        return opener
--- a/siskinproxy/measure/world.py
+++ b/siskinproxy/measure/world.py
@@ -173,6 +173,7 @@
         self.counters: Counter[str] = Counter()
         self.instances: dict[str, FakeInstance] = {}
         self.targets: dict[str, TargetServer] = {}
+        self.former_targets: list[TargetServer] = []
         self.target_zones: dict[str, str] = {}
         self.callers: dict[Endpoint, RequestFlow | StreamFlow] = {}
         self.fabric: list[str] = []
@@ -241,6 +242,11 @@
         self.targets[target.address] = server
         self.target_zones[target.address] = target.zone
 
+    def remove_target(self, address: str) -> None:
+        """Stop a backend server; its flows are lost."""
+        self.former_targets.append(self.targets.pop(address))
+        self._target_timers.pop(address, None)
+
     def add_instance(self, name: str, zone: str) -> FakeInstance:
         """Start an instance; members hear of it by `announce`."""
         number = next(self._order) % 250 + 1
@@ -258,7 +264,7 @@
         instance = self.instances[name]
         instance.is_alive = False
         self.schedule(self.detection_s, self.remove_member, name)
-        self.schedule(self.detection_s, self._leave_fabric, name)
+        self.schedule(self.detection_s, self.leave_fabric, name)
 
     def freeze(self, name: str, duration_s: float) -> None:
         """Stop an instance for a while, as with SIGSTOP and SIGCONT."""
@@ -272,7 +278,7 @@
     def stop(self, name: str, *, stays_s: float = 8) -> None:
         """Stop an instance as planned: it announces leaving first."""
         self.set_status(name, 'leaving')
-        self.schedule(1, self._leave_fabric, name)
+        self.schedule(1, self.leave_fabric, name)
         self.schedule(stays_s, self._end_stopped, name)
 
     # Snapshots
@@ -401,7 +407,7 @@
         """Let a caller open a flow."""
         self.callers[local] = flow
         self.send_from_caller(flow.start(self.now_s))
-        self._follow_caller(local, flow)
+        self.follow_caller(local, flow)
 
     def send_from_caller(self, packets: list[bytes]) -> None:
         """Send segments of a caller to the fabric."""
@@ -500,11 +506,12 @@
             return
         self._note(b'caller', segment)
         self.send_from_caller(flow.on_datagram(segment, self.now_s))
-        self._follow_caller(endpoint, flow)
+        self.follow_caller(endpoint, flow)
 
-    def _follow_caller(
+    def follow_caller(
         self, endpoint: Endpoint, flow: RequestFlow | StreamFlow
     ) -> None:
+        """Schedule the next timer of a caller's flow."""
         if flow.is_finished:
             self.callers.pop(endpoint, None)
             return
@@ -519,7 +526,7 @@
             return
         if flow.next_timer_s() <= self.now_s:
             self.send_from_caller(flow.on_timer(self.now_s))
-            self._follow_caller(endpoint, flow)
+            self.follow_caller(endpoint, flow)
 
     def _run_timer(self, instance: FakeInstance) -> None:
         if not instance.is_alive:
@@ -580,7 +587,8 @@
         if name not in self.fabric:
             self.fabric.append(name)
 
-    def _leave_fabric(self, name: str) -> None:
+    def leave_fabric(self, name: str) -> None:
+        """Let the fabric send no more packets to an instance."""
         if name in self.fabric:
             self.fabric.remove(name)
 
