Keep flows that were opened elsewhere while an instance was paused

Cause: a resumed instance handled a SYN from its socket buffer before its timer had noticed the pause, opened the flow at a second target and overwrote the entries of the other homes; the target's reset then ended the flow.

Ruled out: expiry of views (the instance was no home under other views), reuse of ports (ports are unique in the run).

Change: the pause is detected before a SYN is routed; a home with an established entry rejects a contradicting replication and sends its entry back.

--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -241,6 +241,10 @@
             state.counters.unknown_service += 1
             return
         known = state.home_binding(key)
+        if known is not None and _contradicts(known, route):
+            # The sender was paused or cut off while the flow was opened.
+            self._correct(header, key, known)
+            return
         if known is None or known.route is not route or not _is_live(known):
             state.store(key, route, FlowState.OPENING)
             self.restore(key, route, now_s)
@@ -249,6 +253,35 @@
         homes = state.homes(route.listener.service, key)
         self._pass_on(segment, route, homes, header.position + 1)
 
+    def replace_opening(
+        self, key: bytes, binding: Binding, now_s: float
+    ) -> bool:
+        """Give up an own opening for a flow established elsewhere.
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        binding : Binding
+            Binding at the other home.
+        now_s : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            True if the flow was only opening here, at another target.
+        """
+        known = self._state.home_binding(key)
+        if known is None or not _contradicts(binding, known.route):
+            return False
+        if known.state is not FlowState.OPENING:
+            return False
+        self.flow_released(key, known.route, True, now_s)
+        self._state.store(key, binding.route, binding.state)
+        self.restore(key, binding.route, now_s)
+        return True
+
     def on_reset(
         self, key: bytes, route: Route, segment: bytes, now_s: float
     ) -> bool:
@@ -336,6 +369,7 @@
         hops: int,
         now_s: float,
     ) -> None:
+        self._note_pause(now_s)
         state = self._state
         key = segment[FLOW_KEY]
         shard = state.shard(listener.service, key)
@@ -476,6 +510,14 @@
         flags = self._zone_index(opening.ingress_zone)
         state.send(earlier, Kind.LOOKUP, opening.segment, flags=flags)
 
+    def _correct(
+        self, header: TunnelHeader, key: bytes, known: Binding
+    ) -> None:
+        sender = self._state.peers.get(header.sender)
+        if sender is not None:
+            entry = CopyEntry(key, known.route.endpoint, known.state)
+            self._state.send(sender, Kind.COPY, encode_entries([entry]))
+
     def _other_owner(
         self, service: str, key: bytes, now_s: float
     ) -> Member | None:
@@ -763,3 +805,12 @@
 
 def _is_live(binding: Binding) -> bool:
     return binding.state is not FlowState.CLOSED and binding.route.is_allowed
+
+
+def _contradicts(known: Binding, route: Route) -> bool:
+    """Tell whether a flow is established at another target."""
+    return (
+        known.route is not route
+        and known.state is not FlowState.OPENING
+        and _is_live(known)
+    )
--- a/siskinproxy/measure/baselines.py
+++ b/siskinproxy/measure/baselines.py
@@ -98,6 +98,9 @@
 
     def forward(self, segment: bytes) -> None:
         """Send a caller's segment to its target."""
+        self._send_on(segment)
+
+    def _send_on(self, segment: bytes) -> None:
         route = self.select(segment[FLOW_KEY], segment)
         if route is not None:
             self._outbox.to_target(
@@ -192,7 +195,7 @@
             default=self.identity,
         )
         if home.name == self.identity.name:
-            super().forward(segment)
+            self._send_on(segment)
             return
         header = TunnelHeader(
             Kind.RELAY,
@@ -207,4 +210,4 @@
     def on_tunnel(self, datagram: bytes, now_s: float) -> None:
         """Send on a segment that another instance took from the fabric."""
         _, segment = decode(datagram)
-        super().forward(segment)
+        self._send_on(segment)
--- a/siskinproxy/measure/compare.py
+++ b/siskinproxy/measure/compare.py
@@ -1,5 +1,6 @@
 """Comparison of policies over scenarios: ``make measure SEED=n``."""
 
+import itertools
 import random
 import sys
 import time
@@ -111,7 +112,8 @@
     limits: Limits,
     rng: random.Random,
 ) -> Engine:
-    return IndependentEngine(identity, outbox, limits, rng, select(reports))
+    chosen = partial(select, reports)
+    return IndependentEngine(identity, outbox, limits, rng, chosen)
 
 
 #: Engine factories, or admission policies of independent instances, by name.
@@ -242,11 +244,14 @@
     policies, scenarios, deployments : str
         Names separated by commas; all by default.
     """
+    names = itertools.product(
+        _names(_text(deployments), DEPLOYMENTS),
+        _names(_text(scenarios), SCENARIOS),
+        _names(_text(policies), POLICIES),
+    )
     cases = [
         (policy, scenario, deployment, seed)
-        for deployment in _names(_text(deployments), DEPLOYMENTS)
-        for scenario in _names(_text(scenarios), SCENARIOS)
-        for policy in _names(_text(policies), POLICIES)
+        for deployment, scenario, policy in names
     ]
     started_s = time.monotonic()
     with ProcessPoolExecutor(_WORKERS) as pool:
--- a/siskinproxy/measure/independent_admission.py
+++ b/siskinproxy/measure/independent_admission.py
@@ -29,22 +29,18 @@
 _Select = Callable[[list[Target], int], Target]
 
 
-def round_robin(reports: LoadReports) -> _Select:
-    """Return a policy that takes the targets in turn."""
+def round_robin(
+    reports: LoadReports, targets: list[Target], turn: int
+) -> Target:
+    """Take the targets in turn."""
+    return targets[turn % len(targets)]
 
-    def select(targets: list[Target], turn: int) -> Target:
-        return targets[turn % len(targets)]
 
-    return select
-
-
-def least_reported(reports: LoadReports) -> _Select:
-    """Return a policy that takes the target with the lowest report."""
-
-    def select(targets: list[Target], turn: int) -> Target:
-        return min(targets, key=lambda target: reports.get(target.name, 0))
-
-    return select
+def least_reported(
+    reports: LoadReports, targets: list[Target], turn: int
+) -> Target:
+    """Take the target with the lowest report."""
+    return min(targets, key=lambda target: reports.get(target.name, 0))
 
 
 class _IndependentAdmission:
@@ -94,17 +90,20 @@
         return self.open(key, no_listener, '', frozenset(), now_s)
 
     def accepted(self, key: bytes, now_s: float) -> None:
-        self._tries.pop(key, None)
+        self._forget(key)
 
     def cancel(self, key: bytes, now_s: float) -> None:
-        self._tries.pop(key, None)
+        self._forget(key)
 
     def closed(self, key: bytes, *ignored: object) -> None:
-        self._tries.pop(key, None)
+        self._forget(key)
 
     def restore(self, *ignored: object) -> None:
         """Keep no record of flows."""
 
+    def _forget(self, key: bytes) -> None:
+        self._tries.pop(key, None)
+
     def poll(
         self, now_s: float
     ) -> tuple[tuple[bytes, Admitted | Queued | Refused], ...]:
@@ -120,7 +119,7 @@
         self._select = select
 
     def _acting_owner(self, shard: ShardKey) -> Member | None:
-        return None
+        """Let the instance itself decide."""
 
     def _owns(self, shard: ShardKey) -> bool:
         return True
@@ -128,7 +127,7 @@
     def _other_owner(
         self, service: str, key: bytes, now_s: float
     ) -> Member | None:
-        return None
+        """Ask no other instance."""
 
     def _create_admission(
         self, shard: ShardKey, now_s: float
@@ -150,7 +149,7 @@
     rng : random.Random
         Source of randomness.
     select : callable
-        `round_robin` or `least_reported`, applied to the reports.
+        `round_robin` or `least_reported` with the reports bound.
     """
 
     def __init__(
--- a/siskinproxy/measure/world.py
+++ b/siskinproxy/measure/world.py
@@ -105,7 +105,7 @@
         self.is_alive = True
         self.is_frozen = False
         self.has_control = True
-        self.backlog: deque[Callable[[], None]] = deque(maxlen=_SOCKET_BUFFER)
+        self.backlog: deque[Callable[[], None]] = deque()
         self.serial = 0
         self.missed_snapshot: RoutingSnapshot | None = None
 
@@ -460,9 +460,10 @@
         if not instance.is_alive:
             return
         if instance.is_frozen:
-            instance.backlog.append(
-                lambda: handler(datagram, self.now_s),
-            )
+            if len(instance.backlog) < _SOCKET_BUFFER:
+                instance.backlog.append(
+                    lambda: handler(datagram, self.now_s),
+                )
             return
         self._note(b'instance', datagram)
         handler(datagram, self.now_s)
