--- a/siskinproxy/balancer/packet_process.py
+++ b/siskinproxy/balancer/packet_process.py
@@ -20,7 +20,7 @@
     SnapshotMessage,
 )
 from siskinproxy.balancer.engine import PacketEngine
-from siskinproxy.balancer.logs import EventLog
+from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.balancer.settings import (
     InstanceSettings,
     read_settings,
@@ -266,6 +266,7 @@
     settings : str
         Path of the TOML settings file.
     """
+    set_up_logs()
     cfg = read_settings(settings, InstanceSettings)
     process = PacketProcess(cfg, EventLog('packet'))
     process.start()
--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -22,6 +22,7 @@
     'SharedTargetPortError',
     'SiskinproxyError',
     'StandinCommandError',
+    'StandinTimeoutError',
     'StoreAccessError',
     'StoreConflictError',
     'StoreDataError',
@@ -360,6 +361,14 @@
     """The lease expired or was revoked."""
 
 
+class StandinTimeoutError(SiskinproxyError):
+    """A deployment of stand-ins did not reach a state in time."""
+
+    def __init__(self, what: str, limit_s: float) -> None:
+        super().__init__(f'missing="{what}" limit_s={limit_s}')
+        self.what = what
+
+
 class StandinCommandError(SiskinproxyError):
     """A stand-in refused or failed to run a command of its control port."""
 
--- a/siskinproxy/standins/control_port.py
+++ b/siskinproxy/standins/control_port.py
@@ -78,6 +78,7 @@
 def send_command(
     endpoint: tuple[str, int],
     command: str,
+    /,
     **arguments: object,
 ) -> dict[str, Any]:
     """Run one command on a control port.
--- /dev/null
+++ b/siskinproxy/standins/deployment.py
@@ -0,0 +1,521 @@
+"""Launcher of a deployment on the loopback interface.
+
+Starts the store, the fabric, backend servers, callers and instances as
+separate processes, for the demo and for tests with real processes.
+"""
+
+import asyncio
+import itertools
+import os
+import random
+import signal
+import socket
+import time
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+from grpclib.client import Channel
+
+from siskinproxy.errors import StandinCommandError
+from siskinproxy.operators.configuration import Configuration, Target
+from siskinproxy.standins.caller import Load
+from siskinproxy.standins.child import Child, free_port, wait_until
+from siskinproxy.standins.control_port import send_command
+from siskinproxy.standins.proto import store_faults_pb2
+from siskinproxy.standins.proto.store_faults_grpc import StoreControlStub
+from siskinproxy.standins.target_server import TargetSettings
+from siskinproxy.store.client import GrpcKeyValueClient
+from siskinproxy.store.results import Accepted
+from siskinproxy.store.submission import submit
+
+__all__ = ('Deployment', 'Instance')
+
+_LOOPBACK: Final = '127.0.0.1'
+_CALLER_ADDRESSES: Final = '127.0.9.1 127.0.9.2 127.0.9.3 127.0.9.4'
+_TOKEN: Final = 'loopback'
+_START_LIMIT_S: Final = 20.0
+_SEEDS: Final = 3
+_BACKLOG: Final = 8
+
+
+class Instance:
+    """Packet and control process of one instance."""
+
+    def __init__(self, name: str, zone: str, address: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.address = address
+        self.packet_port = 0
+        self.control_port = 0
+        self.settings_path = Path()
+        self.state = 'live'
+        self.packet: Child | None = None
+        self.control: Child | None = None
+
+    @property
+    def children(self) -> tuple[Child, ...]:
+        """Both processes."""
+        return tuple(
+            child for child in (self.packet, self.control) if child is not None
+        )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether one of the processes runs."""
+        return any(child.exit_code is None for child in self.children)
+
+    @property
+    def generation(self) -> int:
+        """Latest generation that the packet process applied."""
+        events = self.packet.events('snapshot_applied') if self.packet else []
+        return int(events[-1]['generation']) if events else 0
+
+    @property
+    def members(self) -> int:
+        """Members in the latest snapshot of the packet process."""
+        events = self.packet.events('snapshot_applied') if self.packet else []
+        return int(events[-1]['members']) if events else 0
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to both processes."""
+        for child in self.children:
+            child.signal(number)
+
+
+class Deployment:
+    """Deployment of one region.
+
+    Parameters
+    ----------
+    cfg : Configuration
+        First configuration. Its target ports are replaced by free ones.
+    directory : Path
+        Directory for settings and logs.
+    seed : int
+        Seed of the stand-ins.
+    list_lag_s : float
+        Lag of the fabric's list of instances, in seconds.
+    """
+
+    def __init__(
+        self,
+        cfg: Configuration,
+        directory: Path,
+        seed: int = 1,
+        list_lag_s: float = 0.5,
+    ) -> None:
+        self.cfg = _with_free_target_ports(cfg, random.Random(os.getpid()))
+        self.generation = 0
+        self.instances: list[Instance] = []
+        self.store: Child | None = None
+        self._directory = directory
+        self._seed = seed
+        self._list_lag_s = list_lag_s
+        self._numbers = itertools.count(1)
+        self._used: set[tuple[str, int]] = set()
+        self._children: list[Child] = []
+        self._control_ports: dict[str, int] = {}
+        self._fabric_port = self._udp_port(_LOOPBACK)
+        self._store_port = self._tcp_port()
+        self._faults_port = self._tcp_port()
+
+    def start(self, instances: int) -> None:
+        """Start all processes and wait until they answer.
+
+        Parameters
+        ----------
+        instances : int
+            Number of instances, distributed over the zones in turn.
+        """
+        self._start_standins()
+        zones = itertools.cycle(zone.name for zone in self.cfg.zones)
+        for _ in range(instances):
+            self._start_instance(next(zones))
+        for name in self._control_ports:
+            wait_until(partial(self._answers, name), name, _START_LIMIT_S)
+        wait_until(self._store_listens, 'store', _START_LIMIT_S)
+        self.publish_instances()
+        self.submit(self.cfg)
+        self.wait_for_members()
+        self.wait_for_generation(_START_LIMIT_S)
+
+    def close(self) -> None:
+        """End all processes."""
+        groups = [instance.children for instance in self.instances]
+        for child in itertools.chain(self._children, *groups):
+            child.signal(signal.SIGCONT)
+            child.kill()
+
+    def running_instances(self) -> list[Instance]:
+        """Return the instances whose processes run and do not leave."""
+        return [
+            instance
+            for instance in self.instances
+            if instance.is_running and instance.state == 'live'
+        ]
+
+    def add_instance(self, zone: str) -> Instance:
+        """Start one more instance and publish it when it is ready."""
+        instance = self._start_instance(zone)
+        self.wait_for_members()
+        self.wait_for_generation(_START_LIMIT_S)
+        self.publish_instances()
+        return instance
+
+    def stop_instance(self, instance: Instance) -> None:
+        """Begin the planned stop of an instance."""
+        instance.state = 'leaving'
+        instance.signal(signal.SIGTERM)
+        self.publish_instances()
+
+    def start_control(self, instance: Instance) -> None:
+        """Start the control process of an instance."""
+        instance.control = Child(
+            f'{instance.name}-control',
+            'siskinproxy.balancer.control_process',
+            [str(instance.settings_path)],
+            self._directory,
+        )
+
+    def publish_instances(self) -> None:
+        """Send the instance list to the fabric and to the store."""
+        listed = [item for item in self.instances if item.is_running]
+        rows = [
+            {
+                'name': instance.name,
+                'zone': instance.zone,
+                'address': instance.address,
+                'packet_port': instance.packet_port,
+                'status': 'alive' if instance.state == 'live' else 'leaving',
+            }
+            for instance in listed
+        ]
+        self.command('fabric', 'set_instances', instances=rows)
+        asyncio.run(self._put_instances(listed))
+
+    def set_store_outage(self, is_out: bool) -> None:
+        """Begin or end an outage of the store."""
+        asyncio.run(self._set_store_faults(is_out))
+
+    def submit(self, cfg: Configuration) -> float:
+        """Submit a configuration and return when it was accepted.
+
+        Raises
+        ------
+        StandinCommandError
+            If it was not accepted.
+        """
+        result = asyncio.run(self._submit(cfg))
+        if not isinstance(result, Accepted):
+            raise StandinCommandError('submit', repr(result))
+        self.cfg = cfg
+        self.generation = result.generation
+        return time.monotonic()
+
+    def wait_for_generation(self, limit_s: float) -> float:
+        """Wait until the submitted configuration is in effect everywhere."""
+        return wait_until(
+            lambda: all(
+                instance.generation >= self.generation
+                for instance in self.running_instances()
+            ),
+            f'generation {self.generation}',
+            limit_s,
+        )
+
+    def wait_for_members(self, limit_s: float = _START_LIMIT_S) -> float:
+        """Wait until all instances that run know each other."""
+        running = self.running_instances()
+        return wait_until(
+            lambda: all(item.members == len(running) for item in running),
+            f'{len(running)} members',
+            limit_s,
+        )
+
+    def command(self, name: str, command: str, /, **arguments: Any) -> Any:
+        """Run a command on the control port of a stand-in."""
+        endpoint = (_LOOPBACK, self._control_ports[name])
+        return send_command(endpoint, command, **arguments)
+
+    def start_load(self, load: Load) -> None:
+        """Start a load of the callers."""
+        self.command('callers', 'start', **msgspec.to_builtins(load))
+
+    def caller_stats(self) -> dict[str, Any]:
+        """Return the counters of the callers by load."""
+        return self.command('callers', 'stats')
+
+    def target_stats(self) -> dict[str, Any]:
+        """Return the counters of all targets by name."""
+        return self._of_all_targets('stats')
+
+    def target_records(self) -> dict[str, Any]:
+        """Return executions and accepted callers of all targets."""
+        return self._of_all_targets('executions')
+
+    def target_command(
+        self, target: str, command: str, **arguments: Any
+    ) -> Any:
+        """Run a command for one target."""
+        zone = self.target(target).zone
+        return self.command(
+            f'targets-{zone}', command, target=target, **arguments
+        )
+
+    def target(self, name: str) -> Target:
+        """Return the declaration of a target."""
+        return next(
+            target
+            for service in self.cfg.services
+            for target in service.targets
+            if target.name == name
+        )
+
+    def targets_of(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of a service."""
+        return next(
+            item.targets for item in self.cfg.services if item.name == service
+        )
+
+    def _of_all_targets(self, command: str) -> dict[str, Any]:
+        found: dict[str, Any] = {}
+        for zone in self.cfg.zones:
+            found |= self.command(f'targets-{zone.name}', command)
+        return found
+
+    def _start_standins(self) -> None:
+        self.store = self._start_child(
+            'store',
+            'siskinproxy.standins.store',
+            f'--port={self._store_port}',
+            f'--faults_port={self._faults_port}',
+            f'--token={_TOKEN}',
+        )
+        self._start_standin(
+            'fabric',
+            'fabric',
+            f'--port={self._fabric_port}',
+            f'--list_lag_s={self._list_lag_s}',
+        )
+        fabric = f'--fabric={_LOOPBACK}:{self._fabric_port}'
+        for zone in self.cfg.zones:
+            path = self._write_targets(zone.name)
+            name = f'targets-{zone.name}'
+            self._start_standin(
+                name, 'target', f'--targets_file={path}', fabric
+            )
+        self._start_standin(
+            'callers',
+            'caller',
+            fabric,
+            f'--addresses={_CALLER_ADDRESSES}',
+        )
+
+    def _start_standin(self, name: str, module: str, *arguments: str) -> None:
+        port = self._tcp_port()
+        self._control_ports[name] = port
+        self._start_child(
+            name,
+            f'siskinproxy.standins.{module}',
+            f'--control_port={port}',
+            f'--seed={self._seed}',
+            *arguments,
+        )
+
+    def _start_child(self, name: str, module: str, *arguments: str) -> Child:
+        child = Child(name, module, arguments, self._directory)
+        self._children.append(child)
+        return child
+
+    def _start_instance(self, zone: str) -> Instance:
+        number = next(self._numbers)
+        instance = Instance(f'i{number}', zone, f'127.2.0.{number}')
+        instance.packet_port = self._udp_port(instance.address)
+        instance.control_port = self._udp_port(instance.address)
+        instance.settings_path = self._write_settings(instance)
+        instance.packet = Child(
+            f'{instance.name}-packet',
+            'siskinproxy.balancer.packet_process',
+            [str(instance.settings_path)],
+            self._directory,
+        )
+        self.start_control(instance)
+        self.instances.append(instance)
+        return instance
+
+    def _write_settings(self, instance: Instance) -> Path:
+        seeds = [
+            f'{other.address}:{other.control_port}'
+            for other in self.running_instances()[:_SEEDS]
+        ]
+        sections = {
+            'instance': {
+                'name': instance.name,
+                'region': self.cfg.region,
+                'zone': instance.zone,
+                'address': instance.address,
+            },
+            'packet': {
+                'port': instance.packet_port,
+                'link_port': self._tcp_port(),
+                'fabric_address': _LOOPBACK,
+                'fabric_port': self._fabric_port,
+            },
+            'control': {'port': instance.control_port, 'seeds': seeds},
+            'store': {
+                'address': _LOOPBACK,
+                'port': self._store_port,
+                'token': _TOKEN,
+            },
+        }
+        path = self._directory / f'{instance.name}.toml'
+        path.write_text(_encode_toml(sections))
+        return path
+
+    def _write_targets(self, zone: str) -> Path:
+        settings = [
+            TargetSettings(
+                name=target.name,
+                service=service.name,
+                address=target.address,
+                ports={
+                    listener.target_port: listener.mode
+                    for listener in service.listeners
+                },
+                slots=target.slots,
+                connections=target.connections,
+                backlog=_BACKLOG,
+                warmup_s=target.warmup_s,
+            )
+            for service in self.cfg.services
+            for target in service.targets
+            if target.zone == zone
+        ]
+        path = self._directory / f'targets-{zone}.json'
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+    async def _submit(self, cfg: Configuration) -> Any:
+        client = GrpcKeyValueClient(_LOOPBACK, self._store_port, _TOKEN)
+        await client.start()
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(client.close)
+            return await submit(
+                client,
+                cfg.region,
+                cfg,
+                self.generation,
+                f'launcher-{os.getpid()}-{next(self._numbers)}',
+                'launcher',
+                int(time.time()),
+            )
+
+    async def _put_instances(self, instances: Iterable[Instance]) -> None:
+        async with Channel(_LOOPBACK, self._faults_port) as channel:
+            stub = StoreControlStub(channel)
+            calls = [
+                stub.PutInstance(
+                    store_faults_pb2.Instance(
+                        name=instance.name,
+                        zone=instance.zone,
+                        address=instance.address,
+                        packet_port=instance.packet_port,
+                        control_port=instance.control_port,
+                        state=instance.state,
+                    ),
+                )
+                for instance in instances
+            ]
+            gone = {item.name for item in self.instances}
+            gone -= {item.name for item in instances}
+            calls += [
+                stub.RemoveInstance(store_faults_pb2.InstanceName(name=name))
+                for name in gone
+            ]
+            await asyncio.gather(*calls)
+
+    async def _set_store_faults(self, is_out: bool) -> None:
+        async with Channel(_LOOPBACK, self._faults_port) as channel:
+            await StoreControlStub(channel).SetFaults(
+                store_faults_pb2.Faults(outage=is_out),
+            )
+
+    def _answers(self, name: str) -> bool:
+        try:
+            self.command(name, 'stats')
+        except OSError:
+            return False
+        return True
+
+    def _store_listens(self) -> bool:
+        ports = (self._store_port, self._faults_port)
+        try:
+            for port in ports:
+                socket.create_connection((_LOOPBACK, port), 1).close()
+        except OSError:
+            return False
+        return True
+
+    def _udp_port(self, address: str) -> int:
+        return free_port(socket.SOCK_DGRAM, address, self._used)
+
+    def _tcp_port(self) -> int:
+        return free_port(socket.SOCK_STREAM, _LOOPBACK, self._used)
+
+
+def _encode_toml(sections: dict[str, dict[str, Any]]) -> str:
+    # JSON texts, numbers and lists of texts are valid TOML values.
+    lines = []
+    for name, section in sections.items():
+        lines.append(f'[{name}]')
+        for key, value in section.items():
+            lines.append(f'{key} = {msgspec.json.encode(value).decode()}')
+    return '\n'.join(lines)
+
+
+def _with_free_target_ports(
+    cfg: Configuration,
+    rng: random.Random,
+) -> Configuration:
+    """Replace target ports, so that deployments can run side by side."""
+    addresses = [
+        target.address for service in cfg.services for target in service.targets
+    ]
+    used: set[int] = set()
+    services = []
+    for service in cfg.services:
+        listeners = []
+        for listener in service.listeners:
+            port = _common_free_port(addresses, used, rng)
+            used.add(port)
+            listeners.append(
+                msgspec.structs.replace(listener, target_port=port),
+            )
+        services.append(
+            msgspec.structs.replace(service, listeners=tuple(listeners)),
+        )
+    return msgspec.structs.replace(cfg, services=tuple(services))
+
+
+def _common_free_port(
+    addresses: list[str],
+    used: set[int],
+    rng: random.Random,
+) -> int:
+    while True:
+        port = rng.randrange(10000, 30000)
+        if port not in used and all(_is_free(each, port) for each in addresses):
+            return port
+
+
+def _is_free(address: str, port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        try:
+            sock.bind((address, port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/siskinproxy/standins/summary.py
@@ -0,0 +1,193 @@
+"""Counted outcomes of a run with callers and targets."""
+
+from collections import Counter
+from collections.abc import Collection, Mapping
+from typing import Any
+
+import msgspec
+
+__all__ = ('Summary', 'imbalance', 'summarize')
+
+
+class Summary(msgspec.Struct, frozen=True, kw_only=True):
+    """Counted outcomes.
+
+    Parameters
+    ----------
+    flows, broken_flows : int
+        Long flows that were established; those that ended without their
+        caller's wish.
+    abandoned_flows, abandoned_requests : int
+        Broken flows and requests without an answer at targets of a zone that
+        was taken out of service; not in ``broken_flows`` and ``lost``.
+    requests, answered, refused, timed_out : int
+        Requests by outcome.
+    lost : int
+        Requests whose caller does not know the outcome.
+    mismatched : int
+        Answers that were incomplete or belonged to another request.
+    doubled : int
+        Executions of a request after its first one.
+    false_refusals : int
+        Requests that were executed although they were refused.
+    not_executed : int
+        Requests that were answered although no target executed them.
+    misdelivered : int
+        Packets that reached another service.
+    cold_failures : int
+        Failures of targets that were overloaded in a cold start.
+    """
+
+    flows: int
+    broken_flows: int
+    abandoned_flows: int
+    requests: int
+    answered: int
+    refused: int
+    timed_out: int
+    lost: int
+    abandoned_requests: int
+    mismatched: int
+    doubled: int
+    false_refusals: int
+    not_executed: int
+    misdelivered: int
+    cold_failures: int
+
+    def violations(self) -> dict[str, int]:
+        """Return the broken invariants by name, with their counts."""
+        counts = {
+            'flow_survives': self.broken_flows,
+            'service_isolation': self.misdelivered,
+            'warmup_limit': self.cold_failures,
+            'answer_integrity': self.mismatched + self.not_executed,
+            'truthful_refusal': self.false_refusals,
+            'at_most_once': self.doubled,
+            'graceful_stop': self.lost,
+        }
+        return {name: count for name, count in counts.items() if count}
+
+
+def imbalance(
+    before: Mapping[str, Mapping[str, Any]],
+    after: Mapping[str, Mapping[str, Any]],
+    targets: Collection[str],
+) -> float:
+    """Return the highest over the mean busy slot time of some targets.
+
+    Parameters
+    ----------
+    before, after : Mapping
+        Target stats by name at the start and the end of the window.
+    targets : Collection of str
+        Names of the targets.
+
+    Returns
+    -------
+    float
+        1 for a perfect balance, also if no target was busy.
+    """
+    busy_s = [
+        after[name]['busy_s'] - before[name]['busy_s'] for name in targets
+    ]
+    total_s = sum(busy_s)
+    return max(busy_s) * len(busy_s) / total_s if total_s else 1
+
+
+def summarize(
+    callers: Mapping[str, Mapping[str, Any]],
+    loads: Mapping[str, Mapping[str, Any]],
+    records: Mapping[str, Mapping[str, Any]],
+    targets: Mapping[str, Mapping[str, Any]],
+    abandoned: Collection[str] = (),
+) -> Summary:
+    """Combine what callers and targets recorded.
+
+    Parameters
+    ----------
+    callers : Mapping
+        Outcomes of the callers by load.
+    loads : Mapping
+        Stats of the callers by load.
+    records : Mapping
+        Executions and accepted callers by target.
+    targets : Mapping
+        Stats by target.
+    abandoned : Collection of str
+        Targets whose flows were abandoned when their zone was taken out of
+        service.
+
+    Returns
+    -------
+    Summary
+        The counted outcomes.
+    """
+    ids = _ids_by_outcome(callers)
+    executions = _executions(records)
+    gone = {
+        caller for name in abandoned for caller in records[name]['accepted']
+    }
+    faults = _count_faults(callers, gone)
+    return Summary(
+        flows=sum(load['established_total'] for load in loads.values()),
+        broken_flows=faults['broken'],
+        abandoned_flows=faults['abandoned_broken'],
+        requests=sum(
+            len(ids[outcome])
+            for outcome in (
+                'answered',
+                'refused',
+                'timed_out',
+                'unknown',
+                'mismatched',
+            )
+        ),
+        answered=len(ids['answered']),
+        refused=len(ids['refused']),
+        timed_out=len(ids['timed_out']),
+        lost=faults['unknown'],
+        abandoned_requests=faults['abandoned_unknown'],
+        mismatched=len(ids['mismatched']),
+        doubled=sum(count - 1 for count in executions.values()),
+        false_refusals=sum(key in executions for key in ids['refused']),
+        not_executed=sum(key not in executions for key in ids['answered']),
+        misdelivered=_total(targets, 'misdelivered'),
+        cold_failures=_total(targets, 'failures'),
+    )
+
+
+def _ids_by_outcome(
+    callers: Mapping[str, Mapping[str, Any]],
+) -> dict[str, list[str]]:
+    ids: dict[str, list[str]] = {}
+    outcomes = ('answered', 'refused', 'timed_out', 'unknown', 'mismatched')
+    for outcome in outcomes:
+        ids[outcome] = [
+            key
+            for load in callers.values()
+            for key in load['ids'].get(outcome, ())
+        ]
+    return ids
+
+
+def _executions(records: Mapping[str, Mapping[str, Any]]) -> Counter[str]:
+    executions: Counter[str] = Counter()
+    for record in records.values():
+        executions.update(record['executions'])
+    return executions
+
+
+def _count_faults(
+    callers: Mapping[str, Mapping[str, Any]],
+    gone: Collection[str],
+) -> Counter[str]:
+    faults: Counter[str] = Counter()
+    for load in callers.values():
+        for fault in load['faults']:
+            prefix = 'abandoned_' if fault['caller'] in gone else ''
+            faults[prefix + fault['outcome']] += 1
+    return faults
+
+
+def _total(targets: Mapping[str, Mapping[str, Any]], name: str) -> int:
+    return sum(stats.get(name, 0) for stats in targets.values())
