--- a/siskinproxy/standins/demo.py
+++ b/siskinproxy/standins/demo.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+from contextlib import closing
 from pathlib import Path
 from typing import Any, Final
 
@@ -17,6 +18,7 @@
 import msgspec
 
 import siskinproxy
+from siskinproxy.balancer.logs import format_pairs
 from siskinproxy.errors import SiskinproxyError
 from siskinproxy.operators.configuration import Configuration
 from siskinproxy.operators.differences import (
@@ -26,7 +28,12 @@
 from siskinproxy.standins.caller import Load
 from siskinproxy.standins.child import wait_until
 from siskinproxy.standins.deployment import Deployment
-from siskinproxy.standins.summary import Summary, imbalance, summarize
+from siskinproxy.standins.summary import (
+    Summary,
+    imbalance,
+    list_faults,
+    summarize,
+)
 
 __all__ = ('Demo', 'main', 'run', 'shorten_warmup')
 
@@ -284,10 +291,14 @@
 
     def _summarize(self) -> Summary:
         deployment = self._deployment
+        outcomes = deployment.command('callers', 'outcomes')
+        records = deployment.target_records()
+        for fault in list_faults(outcomes, records, self._abandoned):
+            self._say(f'fault {format_pairs(fault)}')
         summary = summarize(
-            deployment.command('callers', 'outcomes'),
+            outcomes,
             deployment.caller_stats(),
-            deployment.target_records(),
+            records,
             deployment.target_stats(),
             self._abandoned,
         )
@@ -323,10 +334,8 @@
     with tempfile.TemporaryDirectory(prefix='siskinproxy-') as directory:
         deployment = Deployment(cfg, Path(directory), seed)
         demo = Demo(deployment)
-        try:
+        with closing(deployment):
             summary = demo.run()
-        finally:
-            deployment.close()
     demo.print_table()
     line = {
         **msgspec.to_builtins(summary),
--- a/siskinproxy/standins/summary.py
+++ b/siskinproxy/standins/summary.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-__all__ = ('Summary', 'imbalance', 'summarize')
+__all__ = ('Summary', 'imbalance', 'list_faults', 'summarize')
 
 
 class Summary(msgspec.Struct, frozen=True, kw_only=True):
@@ -156,6 +156,43 @@
     )
 
 
+def list_faults(
+    callers: Mapping[str, Mapping[str, Any]],
+    records: Mapping[str, Mapping[str, Any]],
+    abandoned: Collection[str] = (),
+) -> list[dict[str, Any]]:
+    """Return the faults that no zone change explains.
+
+    Parameters are those of `summarize`.
+
+    Returns
+    -------
+    list of dict
+        Faults as the callers recorded them, with the targets that accepted
+        the connection (``accepted_by``), executed the request
+        (``executed_by``) or reset segments of the flow (``reset_by``).
+    """
+    faults = []
+    for load in callers.values():
+        for fault in load['faults']:
+            known = {
+                'accepted_by': _holders(records, 'accepted', fault['caller']),
+                'executed_by': _holders(records, 'executions', fault['id']),
+                'reset_by': _holders(records, 'resets', fault['caller']),
+            }
+            if not set(known['accepted_by']) & set(abandoned):
+                faults.append({**fault, **known})
+    return faults
+
+
+def _holders(
+    records: Mapping[str, Mapping[str, Any]],
+    kind: str,
+    key: str,
+) -> list[str]:
+    return [name for name, record in records.items() if key in record[kind]]
+
+
 def _ids_by_outcome(
     callers: Mapping[str, Mapping[str, Any]],
 ) -> dict[str, list[str]]:
--- a/siskinproxy/standins/target.py
+++ b/siskinproxy/standins/target.py
@@ -159,6 +159,7 @@
             name: {
                 'executions': server.executions,
                 'accepted': sorted(server.accepted),
+                'resets': server.resets,
             }
             for name, server in self._servers.items()
         }
--- a/siskinproxy/standins/target_server.py
+++ b/siskinproxy/standins/target_server.py
@@ -120,6 +120,10 @@
     return (pattern * (size_bytes // len(pattern) + 1))[:size_bytes]
 
 
+def _name_of(endpoint: Endpoint) -> str:
+    return f'{endpoint.address}:{endpoint.port}'
+
+
 class TargetServer:
     """One backend server.
 
@@ -140,6 +144,8 @@
         Executions by request id; more than 1 is a doubled request.
     accepted : set of str
         Callers, as ``address:port``, whose connection was accepted.
+    resets : collections.Counter
+        Resets of segments without a connection, by caller.
     """
 
     def __init__(
@@ -152,6 +158,7 @@
         self.counters: Counter[str] = Counter()
         self.executions: Counter[str] = Counter()
         self.accepted: set[str] = set()
+        self.resets: Counter[str] = Counter()
         self.flags = {'drain': False, 'shed': False, 'lie': False}
         self._rng = rng
         self._flows: dict[tuple[int, Endpoint], _Flow] = {}
@@ -312,7 +319,7 @@
         )
         flow = _Flow((port, segment.source), connection, mode)
         self._flows[flow.key] = flow
-        self.accepted.add(f'{segment.source.address}:{segment.source.port}')
+        self.accepted.add(_name_of(segment.source))
         self._open_flows[mode] += 1
         packets = connection.open(now_s)
         self._schedule_retransmission(flow)
@@ -337,6 +344,7 @@
         if segment.flags & RST:
             return []
         self.counters['unknown_flow'] += 1
+        self.resets[_name_of(segment.source)] += 1
         sequence = segment.acknowledgment if segment.flags & ACK else 0
         return [
             build_segment(segment.destination, segment.source, RST, sequence),
@@ -352,6 +360,7 @@
         packets = connection.on_segment(segment, now_s)
         if any(packet[33] & RST for packet in packets):
             self.counters['unacceptable_acknowledgment'] += 1
+            self.resets[_name_of(segment.source)] += 1
         for request in decode_frames(connection.received, Request):
             packets.extend(self._on_request(flow, request, now_s))
         if connection.remote_closed and flow.mode == 'stream':
