--- a/siskinproxy/balancer/control_engine.py
+++ b/siskinproxy/balancer/control_engine.py
@@ -21,6 +21,7 @@
     ConfigurationState,
 )
 from siskinproxy.instances.configuration_transfer import (
+    TRANSFER_KINDS,
     ConfigurationTransfer,
     FetchedConfiguration,
     TransferStep,
@@ -173,11 +174,15 @@
             self.traffic['malformed_messages'] += 1
             self._event('malformed_datagram', error=str(exc))
             return self._finish()
-        self._apply_membership(self.membership.on_message(message, now_s))
+        if not isinstance(message, TRANSFER_KINDS):
+            size_bytes = len(payload) + UDP_OVERHEAD_BYTES
+            self.transfer.charge(size_bytes, now_s)
+        step = self.membership.on_message(message, now_s)
+        self._apply_membership(step, now_s)
         if not self.membership.is_resuming(now_s):
             header = self.membership.header(now_s)
-            step = self.transfer.on_message(message, header, now_s)
-            self._apply_transfer(step, now_s)
+            transfer = self.transfer.on_message(message, header, now_s)
+            self._apply_transfer(transfer, now_s)
         return self._finish()
 
     def on_timer(self, now_s: float) -> ControlStep:
@@ -193,7 +198,7 @@
         ControlStep
             Datagrams to send, events and, after a change, a snapshot.
         """
-        self._apply_membership(self.membership.on_timer(now_s))
+        self._apply_membership(self.membership.on_timer(now_s), now_s)
         header = self.membership.header(now_s)
         self._apply_transfer(self.transfer.on_timer(header, now_s), now_s)
         self._confirm(now_s)
@@ -282,12 +287,12 @@
 
     def leave(self, now_s: float) -> ControlStep:
         """Announce the planned stop of this instance."""
-        self._apply_membership(self.membership.leave(now_s))
+        self._apply_membership(self.membership.leave(now_s), now_s)
         return self._finish()
 
     def farewell(self, now_s: float) -> ControlStep:
         """Announce that this instance ends now."""
-        self._apply_membership(self.membership.farewell(now_s))
+        self._apply_membership(self.membership.farewell(now_s), now_s)
         return self._finish()
 
     def snapshot(self, now_s: float) -> RoutingSnapshot | None:
@@ -390,7 +395,7 @@
                 candidate.head_digest,
                 now_s,
             )
-            self._apply_membership(step)
+            self._apply_membership(step, now_s)
             self._update_serving(now_s)
 
     def _confirm(self, now_s: float) -> None:
@@ -412,22 +417,27 @@
     def _update_serving(self, now_s: float) -> None:
         has_configuration = self.configuration.in_force is not None
         serving = has_configuration and self._packet_connected
-        self._apply_membership(self.membership.set_serving(serving, now_s))
+        step = self.membership.set_serving(serving, now_s)
+        self._apply_membership(step, now_s)
 
-    def _apply_membership(self, step: Step) -> None:
-        self._send(step.sends)
+    def _apply_membership(self, step: Step, now_s: float) -> None:
+        self.transfer.charge(self._send(step.sends), now_s)
         for change in step.changes:
             self._snapshot_wanted = True
             self._events.append(_change_event(change))
 
     # Output
 
-    def _send(self, sends: Iterable[Send]) -> None:
+    def _send(self, sends: tuple[Send, ...]) -> int:
+        """Encode messages and return their size in bytes."""
+        total_bytes = 0
         for address, message in sends:
             payload = encode_message(message)
-            self.traffic['sent_bytes'] += len(payload) + UDP_OVERHEAD_BYTES
-            self.traffic['sent_messages'] += 1
+            total_bytes += len(payload) + UDP_OVERHEAD_BYTES
             self._datagrams.append(Datagram(address, payload))
+        self.traffic['sent_bytes'] += total_bytes
+        self.traffic['sent_messages'] += len(sends)
+        return total_bytes
 
     def _event(self, event: str, **pairs: object) -> None:
         self._events.append(ControlEvent(event, pairs))
--- a/siskinproxy/instances/configuration_transfer.py
+++ b/siskinproxy/instances/configuration_transfer.py
@@ -23,19 +23,23 @@
 
 __all__ = (
     'START_QUERY_S',
+    'TRANSFER_KINDS',
     'ConfigurationTransfer',
     'FetchedConfiguration',
     'TransferStep',
 )
 
+#: Messages that the transfer itself accounts for.
+TRANSFER_KINDS: Final = (BlobRequest, BlobChunk, BlobBusy)
+
 #: Time in which a starting instance collects the generations of its peers.
 START_QUERY_S: Final = 1.0
 
-#: Bytes a second for fetching and serving together, and their burst. With
-#: about 5 KB/s of gossip a node stays below 23 KB/s in every second. A change
+#: Control bytes a second, sent and received, up to which the transfer adds to
+#: the other messages, and their burst: at most 21.5 KB in any second. A change
 #: takes about 3.5 KB, so an instance can pass it on at once to one or two.
-TRANSFER_RATE_BYTES_S: Final = 8_500
-TRANSFER_BURST_BYTES: Final = 9_000
+CONTROL_RATE_BYTES_S: Final = 13_000
+CONTROL_BURST_BYTES: Final = 8_500
 
 #: A chunk that has not arrived by then is requested from another peer.
 CHUNK_TIMEOUT_S: Final = 0.25
@@ -138,8 +142,8 @@
         self._sections_of = sections_of
         self._hold_until_s = now_s + START_QUERY_S
         self._budget = TokenBucket(
-            TRANSFER_RATE_BYTES_S,
-            TRANSFER_BURST_BYTES,
+            CONTROL_RATE_BYTES_S,
+            CONTROL_BURST_BYTES,
             now_s,
         )
         self._generation = 0
@@ -181,6 +185,19 @@
         if self._target and self._target.generation <= generation:
             self._drop_target()
 
+    def charge(self, size_bytes: int, now_s: float) -> None:
+        """Subtract other control traffic from the budget of the transfer.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Size of a message that was sent or received, with UDP and IP
+            headers.
+        now_s : float
+            Time.
+        """
+        self._budget.charge(size_bytes, now_s)
+
     def reject(self, head_digest: bytes) -> None:
         """Never fetch this head again, since it cannot be decoded."""
         self._rejected.add(head_digest)
@@ -270,11 +287,13 @@
         address = (record.address, record.control_port)
         form = self._shelf.transfer_form(message.digest, message.base)
         if form is None:
+            self._budget.charge(_MESSAGE_BYTES * 2, now_s)
             return Send(address, BlobBusy(header, message.digest, True))
         end = message.offset + chunk_bytes(header)
         chunk = form.data[message.offset : end]
         cost_bytes = len(chunk) + _MESSAGE_BYTES * 2
         if not self._budget.take(cost_bytes, now_s):
+            self._budget.charge(_MESSAGE_BYTES * 2, now_s)
             return Send(address, BlobBusy(header, message.digest))
         answer = BlobChunk(
             header,
@@ -298,6 +317,8 @@
         if not self._answers(message.digest, peer):
             return TransferStep()
         self._request = None
+        # The chunk that the request reserved did not come.
+        self._budget.charge(_MESSAGE_BYTES - MAX_DATAGRAM_BYTES, now_s)
         if message.missing:
             self._avoid_until_s[peer] = now_s + UNRESPONSIVE_S
             return self._continue(header, now_s)
--- a/siskinproxy/instances/dissemination.py
+++ b/siskinproxy/instances/dissemination.py
@@ -36,15 +36,19 @@
 
     def take(self, amount: float, now_s: float) -> bool:
         """Take `amount` tokens and return True, or return False."""
-        elapsed_s = max(now_s - self._updated_s, 0)
-        filled = self._tokens + elapsed_s * self._rate
-        self._tokens = min(self._burst, filled)
-        self._updated_s = now_s
+        self.charge(0, now_s)
         if self._tokens < amount:
             return False
         self._tokens -= amount
         return True
 
+    def charge(self, amount: float, now_s: float) -> None:
+        """Take `amount` tokens, even if that makes the number negative."""
+        elapsed_s = max(now_s - self._updated_s, 0)
+        filled = self._tokens + elapsed_s * self._rate
+        self._tokens = min(self._burst, filled) - amount
+        self._updated_s = now_s
+
 
 class Dissemination:
     """Names of the members whose state is news, and how often it was sent."""
--- a/siskinproxy/instances/membership.py
+++ b/siskinproxy/instances/membership.py
@@ -67,8 +67,8 @@
 #: updates that were lost.
 PAGE_PERIOD_S: Final = 5.0
 
-#: Interval of the pages while an instance joins, about 11 KB/s.
-JOIN_PAGE_PERIOD_S: Final = 0.1
+#: Interval of the pages while an instance joins, about 6 KB/s.
+JOIN_PAGE_PERIOD_S: Final = 0.2
 
 #: A gap between two calls longer than this means that the process was paused.
 PAUSE_S: Final = 0.5
@@ -231,22 +231,22 @@
         dict of str to float
             See `Reachability.sight_s`.
         """
-        return self.reachability.sight_s(zones, now_s + self._clock_offset_s)
+        return self.reachability.sight_s(zones, self._steady(now_s))
 
     def store_age_s(self, now_s: float) -> float:
         """Return the age of the youngest known store read, in seconds.
 
         The generation in force here is at least the one of that read.
         """
-        return self.reachability.store_age_s(now_s + self._clock_offset_s)
+        return self.reachability.store_age_s(self._steady(now_s))
 
     def header(self, now_s: float) -> Header:
         """Return the header of a message that is sent now."""
-        return self._header(now_s + self._clock_offset_s)
+        return self._header(self._steady(now_s))
 
     def is_resuming(self, now_s: float) -> bool:
         """Whether messages are dropped, since they may be old."""
-        return now_s + self._clock_offset_s < self._discard_until_s
+        return self._steady(now_s) < self._discard_until_s
 
     # Inputs
 
@@ -385,10 +385,14 @@
 
     def note_store_read(self, now_s: float) -> None:
         """Note that this instance read the generation in force in the store."""
-        self.reachability.note_store_read(now_s + self._clock_offset_s)
+        self.reachability.note_store_read(self._steady(now_s))
 
     # Time
 
+    def _steady(self, now_s: float) -> float:
+        """Return a time that is not before the last input."""
+        return max(now_s + self._clock_offset_s, self._last_s)
+
     def _advance(self, now_s: float) -> float:
         """Return a time that never decreases; detect pauses."""
         steady_s = now_s + self._clock_offset_s
@@ -562,8 +566,10 @@
     ) -> None:
         sequence = self._probes.add(probe)
         header = self._header(now_s)
-        updates = first + self._select_updates(header, probe.record, now_s)
-        updates = fit_updates(header, updates)
+        updates = first
+        if probe.asker is None:
+            updates += self._select_updates(header, probe.record, now_s)
+            updates = fit_updates(header, updates)
         ping = Ping(header, sequence, updates)
         self._sends.append(Send(_address(probe.record), ping))
 
@@ -594,7 +600,7 @@
     def _delegate_probes(self, now_s: float) -> None:
         for sequence, probe in self._probes.to_delegate(now_s):
             entry = self._table.find(probe.record.name)
-            if entry is None or entry.condition == CONDITION_DEAD:
+            if entry is None or entry.condition != CONDITION_ALIVE:
                 continue
             header = self._header(now_s)
             request = PingRequest(header, sequence, probe.record)
--- a/siskinproxy/measure/fake_cluster.py
+++ b/siskinproxy/measure/fake_cluster.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Final, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 import msgspec
 
@@ -143,6 +143,14 @@
     blocked: set[tuple[str, str]] = field(default_factory=set)
 
 
+class _Envelope(NamedTuple):
+    """Datagram under way."""
+
+    zone: str
+    sent_s: float
+    payload: bytes
+
+
 class FakeNode:
     """Instance of the cluster with its state in the simulation."""
 
@@ -154,10 +162,19 @@
         self.starts = 0
         self.started_s: float = 0
         self.frozen = False
+        self.resumed_s: float = 0
         self.clock_offset_s: float = 0
+        self.clock_jumps = 0
         self.is_reader = False
-        self.queued: list[bytes] = []
+        self.queued: list[_Envelope] = []
         self.window_bytes: dict[int, int] = defaultdict(int)
+        #: Time at which the newest datagram received from a zone was sent.
+        self.evidence_s: dict[str, float] = {}
+
+    @property
+    def running_since_s(self) -> float:
+        """Time of the start or of the last resumption."""
+        return max(self.started_s, self.resumed_s)
 
     @property
     def is_running(self) -> bool:
@@ -219,6 +236,7 @@
         node.started_s = self.now_s
         node.frozen = False
         node.queued.clear()
+        node.evidence_s.clear()
         identity = Member(
             name,
             node.zone,
@@ -246,10 +264,7 @@
         engine = node.engine
         phase_s = self.rng.random() * TIMER_PERIOD_S
         self.schedule(phase_s, lambda: self._tick(node, engine))
-        # Every instance reads the store when it starts.
-        self.schedule(phase_s, lambda: self._read_once(node, engine))
-        if node.is_reader:
-            self.schedule(phase_s, lambda: self._read_store(node, engine))
+        self.schedule(phase_s, lambda: self._read_store(node, engine))
 
     def kill(self, name: str) -> None:
         """End an instance without notice."""
@@ -265,11 +280,19 @@
         """Resume a paused instance."""
         node = self.nodes[name]
         node.frozen = False
+        node.resumed_s = self.now_s
         self._note(name, 'resumed')
         queued = list(node.queued)
         node.queued.clear()
-        for payload in queued:
-            self._receive(node, payload)
+        for envelope in queued:
+            self._receive(node, envelope)
+
+    def jump_clock(self, name: str, jump_s: float) -> None:
+        """Move the clock of an instance forward or back."""
+        node = self.nodes[name]
+        node.clock_offset_s += jump_s
+        node.clock_jumps += 1
+        self._note(name, f'clock jumped {jump_s:.3f}')
 
     def block(self, sources: Iterable[str], receivers: Iterable[str]) -> None:
         """Block datagrams from zones or instances to others."""
@@ -277,6 +300,10 @@
         self.faults.blocked |= {pair for pair in pairs if pair[0] != pair[1]}
         self._note('-', f'blocked {sorted(pairs)}')
 
+    def note(self, event: str) -> None:
+        """Add a line of the scenario to the log."""
+        self._note('-', event)
+
     def heal(self) -> None:
         """Remove all partitions."""
         self.faults.blocked.clear()
@@ -362,10 +389,15 @@
             self._perform(node, engine.on_timer(self._clock(node)))
 
     def _read_store(self, node: FakeNode, engine: ControlEngine) -> None:
+        """Read the store; all but the readers only until they have it."""
         if node.engine is not engine:
             return
-        self.schedule(WATCH_PERIOD_S, lambda: self._read_store(node, engine))
         self._read_once(node, engine)
+        if node.is_reader or not engine.configuration.generation:
+            self.schedule(
+                WATCH_PERIOD_S,
+                lambda: self._read_store(node, engine),
+            )
 
     def _read_once(self, node: FakeNode, engine: ControlEngine) -> None:
         if node.engine is not engine or node.frozen:
@@ -402,6 +434,7 @@
         payload: bytes,
     ) -> None:
         faults = self.faults
+        envelope = _Envelope(sender.zone, self.now_s, payload)
         copies = 2 if self.rng.random() < faults.duplication else 1
         for _ in range(copies):
             if self.rng.random() < faults.loss:
@@ -411,28 +444,30 @@
                 delay_s += self.rng.random() * 0.05
             self.schedule(
                 delay_s,
-                partial(self._deliver, sender, receiver, payload),
+                partial(self._deliver, sender, receiver, envelope),
             )
 
     def _deliver(
         self,
         sender: FakeNode,
         receiver: FakeNode,
-        payload: bytes,
+        envelope: _Envelope,
     ) -> None:
         if self._is_blocked(sender, receiver) or receiver.engine is None:
             return
+        self._count(receiver, len(envelope.payload))
         if receiver.frozen:
-            receiver.queued.append(payload)
+            receiver.queued.append(envelope)
             return
-        self._receive(receiver, payload)
+        self._receive(receiver, envelope)
 
-    def _receive(self, node: FakeNode, payload: bytes) -> None:
+    def _receive(self, node: FakeNode, envelope: _Envelope) -> None:
         if node.engine is None:
             return
-        self._count(node, len(payload))
+        known_s = node.evidence_s.get(envelope.zone, envelope.sent_s)
+        node.evidence_s[envelope.zone] = max(known_s, envelope.sent_s)
         now_s = self._clock(node)
-        self._perform(node, node.engine.on_datagram(payload, now_s))
+        self._perform(node, node.engine.on_datagram(envelope.payload, now_s))
 
     def _is_blocked(self, sender: FakeNode, receiver: FakeNode) -> bool:
         blocked = self.faults.blocked
