--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -142,6 +142,7 @@
             state.retired = True
             if state.requests.count or state.streams.count:
                 self._states[name] = state
+        self._requeue_undelivered(now_s)
         for state in self._states.values():
             if state.target.zone in zones_out:
                 self._abandon(state, now_s)
@@ -151,6 +152,25 @@
         self._running = True
         self._refresh(now_s)
 
+    def set_reachable_zones(
+        self, reachable_zones: frozenset[str], now_s: float
+    ) -> None:
+        """Set the zones whose targets may get segments.
+
+        ``open`` does the same; call this when the zones change between
+        openings, since queued flows and retries use the last known zones.
+
+        Parameters
+        ----------
+        reachable_zones : frozenset of str
+            Zones whose targets this instance may send segments to.
+        now_s : float
+            Current time in seconds.
+        """
+        if reachable_zones != self._reachable_zones:
+            self._reachable_zones = reachable_zones
+            self._requeue_undelivered(now_s)
+
     def open(
         self,
         key: bytes,
@@ -182,7 +202,7 @@
         Admitted or Queued or Refused
             The decision; for a queued flow ``poll`` returns the final one.
         """
-        self._reachable_zones = reachable_zones
+        self.set_reachable_zones(reachable_zones, now_s)
         self._refresh_if_due(now_s)
         repeated = self._repeated(key, now_s)
         if repeated is not None:
@@ -261,6 +281,9 @@
     def target_refused(self, key: bytes, now_s: float) -> Admitted | Refused:
         """Decide about a flow whose opening segment the target refused.
 
+        A long-lived flow that was admitted more than ``limits.opening_s`` ago
+        is refused as cancelled, and ``closed`` has to release its connection.
+
         Parameters
         ----------
         key : bytes
@@ -343,6 +366,10 @@
     def cancel(self, key: bytes, now_s: float) -> None:
         """Forget a flow that its caller gave up.
 
+        Long-lived flows that were accepted, or admitted more than
+        ``limits.opening_s`` ago, end with ``closed`` instead, since only the
+        caller of this method knows their target.
+
         Parameters
         ----------
         key : bytes
@@ -424,6 +451,20 @@
             state.begin_warmup(ColdStartReason.ANNOUNCED, now_s)
         return state
 
+    def _requeue_undelivered(self, now_s: float) -> None:
+        """Queue flows again whose target may not get them any more."""
+        serving = self._serving()
+        for key in tuple(self._decided):
+            record = self._flows.get(key)
+            if record is None or record.state in serving:
+                continue
+            self._decided.pop(key)
+            self._remove(record, now_s)
+            flow = QueuedFlow(
+                key, record.listener, '', record.started_s, record.deadline_at_s
+            )
+            self._queue.push(flow)
+
     def _abandon(self, state: TargetState, now_s: float) -> None:
         state.out_of_service = True
         state.abandon_flows(now_s)
@@ -444,6 +485,8 @@
         if not (record.accepted or record.unanswered):
             if now_s - record.started_s >= UNANSWERED_S:
                 self._note_unanswered(record, now_s)
+        # This call delivers a decision that poll has not returned yet.
+        self._decided.pop(key, None)
         return Admitted(record.state.target, AdmittedReason.REPEATED)
 
     def _note_unanswered(self, record: FlowRecord, now_s: float) -> None:
@@ -552,6 +595,7 @@
             record = heapq.heappop(self._expiry)[2]
             if self._flows.get(record.key) is not record:
                 continue
+            self._decided.pop(record.key, None)
             if record.listener.mode == 'stream':
                 # Few responses pass the owner, so a missing acceptance alone
                 # is no evidence while the flow is open.
