--- /dev/null
+++ b/siskinproxy/balancer/opening.py
@@ -0,0 +1,760 @@
+"""Opening of flows: the owner selects a target and informs the homes."""
+
+from collections import deque
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Final
+
+from siskinproxy.balancer.engine_state import SUSPECT_S, EngineState
+from siskinproxy.balancer.routes import ListenerState, Route
+from siskinproxy.balancer.snapshot import Member
+from siskinproxy.callers.flow_state import has_released_slot
+from siskinproxy.callers.flow_table import Binding, FlowState
+from siskinproxy.callers.requests import (
+    Admitted,
+    Queued,
+    Refused,
+    RefusedReason,
+)
+from siskinproxy.fabric.segments import (
+    FLOW_KEY,
+    Endpoint,
+    answers_syn,
+    build_reset,
+    has_payload,
+    pack_endpoint,
+    rewrite_destination,
+    sequence_of,
+)
+from siskinproxy.instances.placement import (
+    HOME_COUNT,
+    ShardKey,
+    targets_of_shard,
+)
+from siskinproxy.instances.tunnel import (
+    CopyEntry,
+    Kind,
+    TunnelHeader,
+    encode_entries,
+    member_id,
+)
+from siskinproxy.targets.admission import ShardAdmission
+from siskinproxy.targets.limits import AdmissionLimits
+
+__all__ = ('FlowOpener',)
+
+#: Views of different instances may disagree on the owner for a moment; after
+#: this many hops the receiver decides.
+MAX_OPEN_HOPS: Final = 2
+
+#: A new target gets its first flow after this time, so that the answers meet
+#: no instance that has not yet applied the generation.
+TARGET_ACTIVATION_S: Final = 2.0
+
+#: Time for which the owner keeps a SYN to repeat it at another target.
+OPENING_LIFETIME_S: Final = 10.0
+
+_BROADCAST: Final = 255
+_ENTRIES_PER_DATAGRAM: Final = 50
+
+#: Mark in the flags of a SYN whose sender suspects the owner.
+_FAILOVER: Final = 0x80
+_ZONE_MASK: Final = 0x7F
+
+#: After a pause of the process, other homes may have opened its flows, so it
+#: asks them for this time.
+CAUTIOUS_S: Final = 2.0
+
+
+@dataclass(slots=True)
+class _Opening:
+    """SYN of a flow that no target has accepted yet."""
+
+    segment: bytes
+    ingress_zone: str
+    since_s: float
+
+
+class FlowOpener:
+    """Decides for new flows of the shards that this instance owns.
+
+    Parameters
+    ----------
+    state : EngineState
+        Tables and views.
+    """
+
+    __slots__ = (
+        '_activated',
+        '_cautious_until_s',
+        '_ceded',
+        '_deputized',
+        '_openings',
+        '_owed',
+        '_polled_s',
+        '_seen_s',
+        '_state',
+        '_unacknowledged',
+        'admissions',
+    )
+
+    def __init__(self, state: EngineState) -> None:
+        self._state = state
+        self.admissions: dict[ShardKey, ShardAdmission] = {}
+        self._openings: dict[bytes, _Opening] = {}
+        self._seen_s: dict[str, float] = {}
+        self._activated = 0
+        self._unacknowledged: dict[str, deque[_Opening]] = {}
+        self._owed: set[int] = set()
+        self._deputized: dict[ShardKey, list[bytes]] = {}
+        self._ceded: dict[ShardKey, Member] = {}
+        self._polled_s: float | None = None
+        self._cautious_until_s = 0.0
+
+    # Shards
+
+    def apply(self, now_s: float) -> None:
+        """Take over or give up shards after a change of view or targets."""
+        state = self._state
+        self._note_targets(now_s)
+        self._deputized.clear()
+        self._ceded.clear()
+        owned = {
+            shard for shard in state.views.current.shards() if self._owns(shard)
+        }
+        for lost in set(self.admissions) - owned:
+            del self.admissions[lost]
+        for shard in sorted(owned):
+            self._apply_shard(shard, now_s)
+        self._forward_lost(now_s)
+
+    def restore(self, key: bytes, route: Route, now_s: float) -> None:
+        """Count a flow that another home has copied to this one."""
+        shard = self._state.shard(route.listener.service, key)
+        admission = self.admissions.get(shard)
+        if admission is not None:
+            admission.restore(
+                key,
+                route.listener.listener,
+                route.target.name,
+                now_s,
+            )
+
+    def note_heard(self, member: Member, now_s: float) -> None:
+        """Record that a member is alive.
+
+        Opening segments sent to it are taken as received, and a deputy gives
+        the member's shards back.
+        """
+        self._unacknowledged.pop(member.name, None)
+        if member.name not in self._state.suspects:
+            return
+        self._state.suspects.discard(member.name)
+        for shard in list(self._deputized):
+            if self._state.shard_homes(shard)[0].name == member.name:
+                self._return_shard(shard, member, now_s)
+
+    def poll(self, now_s: float) -> None:
+        """Carry out decisions for queued flows and drop old openings."""
+        self._note_pause(now_s)
+        self._polled_s = now_s
+        self._acknowledge()
+        self._suspect_silent(now_s)
+        self._activate_targets(now_s)
+        for admission in list(self.admissions.values()):
+            for key, decision in admission.poll(now_s):
+                opening = self._openings.get(key)
+                if opening is not None:
+                    self._carry_out(decision, key, opening, now_s)
+        self._expire(now_s)
+
+    # Segments
+
+    def on_syn(
+        self, segment: bytes, listener: ListenerState, now_s: float
+    ) -> None:
+        """Handle a SYN from the fabric."""
+        if has_payload(segment):
+            # A SYN with data could be executed twice; callers that get no
+            # answer repeat the SYN without data (RFC 7413, section 4.1.3).
+            self._state.counters.syn_with_data += 1
+            return
+        key = segment[FLOW_KEY]
+        self._state.learned.pop(key)
+        zone = self._state.identity.zone
+        self._route(segment, listener, zone, 0, now_s)
+
+    def on_open(
+        self, header: TunnelHeader, segment: bytes, now_s: float
+    ) -> None:
+        """Handle a SYN that another instance took from the fabric."""
+        listener = self._listener(segment)
+        if listener is None:
+            self._state.counters.unknown_service += 1
+            return
+        self._owed.add(header.sender)
+        if header.flags & _FAILOVER:
+            self._check_owner(listener.service, segment[FLOW_KEY], now_s)
+        zone = self._zone_of(header)
+        self._route(segment, listener, zone, header.position + 1, now_s)
+
+    def on_lookup(
+        self, header: TunnelHeader, segment: bytes, now_s: float
+    ) -> None:
+        """Answer whether this earlier owner knows the flow of a SYN."""
+        sender = self._state.peers.get(header.sender)
+        if sender is None:
+            return
+        key = segment[FLOW_KEY]
+        listener = self._listener(segment)
+        if listener is not None:
+            self._cede(self._state.shard(listener.service, key), sender)
+        binding = self._state.home_binding(key)
+        if binding is None or not _is_live(binding):
+            self._state.send(sender, Kind.FRESH, segment, flags=header.flags)
+            return
+        self._repeat(segment, binding.route, also=sender)
+
+    def on_fresh(
+        self, header: TunnelHeader, segment: bytes, now_s: float
+    ) -> None:
+        """Open a flow of which the earlier owner knows nothing."""
+        listener = self._listener(segment)
+        if listener is None:
+            return
+        opening = _Opening(segment, self._zone_of(header), now_s)
+        self._open(segment[FLOW_KEY], opening, listener, now_s)
+
+    def on_replicate(
+        self, header: TunnelHeader, segment: bytes, now_s: float
+    ) -> None:
+        """Record the target of a flow and pass the SYN on."""
+        state = self._state
+        key = segment[FLOW_KEY]
+        route = state.routes.resolve(
+            header.target,
+            segment[16:20] + segment[22:24],
+        )
+        if route is None:
+            # The configuration here does not have this target, so only an
+            # instance that has it may send the segment.
+            state.counters.unknown_service += 1
+            return
+        known = state.home_binding(key)
+        if known is None or known.route is not route or not _is_live(known):
+            state.store(key, route, FlowState.OPENING)
+            self.restore(key, route, now_s)
+        if header.position == _BROADCAST:
+            return
+        homes = state.homes(route.listener.service, key)
+        self._pass_on(segment, route, homes, header.position + 1)
+
+    def on_reset(
+        self, key: bytes, route: Route, segment: bytes, now_s: float
+    ) -> bool:
+        """Handle an RST from a target at the owner.
+
+        Returns
+        -------
+        bool
+            True if the flow was opened at another target or refused here,
+            so that the segment needs no further handling.
+        """
+        opening = self._openings.get(key)
+        if opening is None:
+            return False
+        if not answers_syn(segment, sequence_of(opening.segment)):
+            return False
+        admission = self._admission(route.listener.service, key)
+        if admission is None:
+            return False
+        decision = admission.target_refused(key, now_s)
+        if isinstance(decision, Admitted):
+            self._state.counters.retried += 1
+        self._carry_out(decision, key, opening, now_s)
+        return True
+
+    # FlowObserver
+
+    def flow_accepted(self, key: bytes, route: Route, now_s: float) -> None:
+        """Record that the target accepted the connection."""
+        self._openings.pop(key, None)
+        admission = self._admission(route.listener.service, key)
+        if admission is not None:
+            admission.accepted(key, now_s)
+
+    def flow_released(
+        self, key: bytes, route: Route, reset: bool, now_s: float
+    ) -> None:
+        """Record that the flow uses its target no more."""
+        self._openings.pop(key, None)
+        admission = self._admission(route.listener.service, key)
+        if admission is not None and route.is_allowed:
+            admission.closed(
+                key,
+                route.listener.listener,
+                route.target.name,
+                reset,
+                now_s,
+            )
+
+    def flow_cancelled(self, key: bytes, service: str, now_s: float) -> None:
+        """Record that the caller gave up a flow without a target."""
+        admission = self._admission(service, key)
+        if self._openings.pop(key, None) and admission is not None:
+            admission.cancel(key, now_s)
+
+    # Internals
+
+    def _owns(self, shard: ShardKey) -> bool:
+        homes = self._state.views.current.homes(shard)
+        return bool(homes) and self._state.is_self(homes[0])
+
+    def _admission(self, service: str, key: bytes) -> ShardAdmission | None:
+        return self.admissions.get(self._state.shard(service, key))
+
+    def _listener(self, segment: bytes) -> ListenerState | None:
+        endpoint = segment[16:20] + segment[22:24]
+        return self._state.routes.listeners.get(endpoint)
+
+    def _zone_of(self, header: TunnelHeader) -> str:
+        zones = self._state.zones
+        index = header.flags & _ZONE_MASK
+        if index < len(zones):
+            return zones[index]
+        return self._state.identity.zone
+
+    def _zone_index(self, zone: str) -> int:
+        zones = self._state.zones
+        return zones.index(zone) if zone in zones else _ZONE_MASK
+
+    def _route(
+        self,
+        segment: bytes,
+        listener: ListenerState,
+        zone: str,
+        hops: int,
+        now_s: float,
+    ) -> None:
+        state = self._state
+        key = segment[FLOW_KEY]
+        shard = state.shard(listener.service, key)
+        opening = _Opening(segment, zone, now_s)
+        owner = self._acting_owner(shard)
+        if owner is None or hops > MAX_OPEN_HOPS:
+            self._act_as_owner(shard, now_s)
+            self._open_or_look_up(key, opening, listener, now_s)
+            return
+        flags = self._zone_index(zone)
+        homes = state.views.current.homes(shard)
+        if homes and owner.name != homes[0].name:
+            flags |= _FAILOVER
+        sent = self._unacknowledged.setdefault(owner.name, deque())
+        sent.append(opening)
+        state.send(owner, Kind.OPEN, segment, position=hops, flags=flags)
+
+    def _acting_owner(self, shard: ShardKey) -> Member | None:
+        """Return the other instance that decides, or None if it is this."""
+        state = self._state
+        if shard in self.admissions:
+            return None
+        ceded = self._ceded.get(shard)
+        if ceded is not None and ceded.name not in state.suspects:
+            return ceded
+        homes = state.shard_homes(shard)
+        if not homes or state.is_self(homes[0]):
+            return None
+        return homes[0]
+
+    def _act_as_owner(self, shard: ShardKey, now_s: float) -> None:
+        """Decide for a shard whose owner is suspected."""
+        if shard in self.admissions:
+            return
+        if shard.service not in self._state.routes.services:
+            return
+        self._deputized[shard] = []
+        self._apply_shard(shard, now_s)
+
+    def _check_owner(self, service: str, key: bytes, now_s: float) -> None:
+        """Suspect the owner on a peer's word unless it was heard lately."""
+        state = self._state
+        homes = state.views.current.homes(state.shard(service, key))
+        for home in homes:
+            if state.is_self(home):
+                return
+            if state.was_heard(home, now_s - SUSPECT_S):
+                return
+            state.suspects.add(home.name)
+
+    def _acknowledge(self) -> None:
+        """Show the senders of opening segments that this owner is alive.
+
+        One datagram in each timer period answers all segments of a sender.
+        """
+        for sender_id in self._owed:
+            sender = self._state.peers.get(sender_id)
+            if sender is not None:
+                self._state.send(sender, Kind.HELLO)
+        self._owed.clear()
+
+    def _suspect_silent(self, now_s: float) -> None:
+        """Send the SYNs of silent owners to the next homes."""
+        for name, sent in list(self._unacknowledged.items()):
+            if not sent or now_s - sent[0].since_s < SUSPECT_S:
+                continue
+            self._state.suspects.add(name)
+            self._unacknowledged.pop(name)
+            for opening in sent:
+                listener = self._listener(opening.segment)
+                if listener is not None:
+                    self._fail_over(opening, listener, now_s)
+
+    def _fail_over(
+        self, opening: _Opening, listener: ListenerState, now_s: float
+    ) -> None:
+        """Send a SYN to the next home, once; the caller repeats it else."""
+        zone = opening.ingress_zone
+        self._route(opening.segment, listener, zone, 0, now_s)
+        key = opening.segment[FLOW_KEY]
+        shard = self._state.shard(listener.service, key)
+        owner = self._acting_owner(shard)
+        if owner is not None:
+            self._unacknowledged[owner.name].pop()
+
+    def _note_pause(self, now_s: float) -> None:
+        """Detect that the process did not run, as after SIGSTOP."""
+        polled_s = self._polled_s
+        if polled_s is not None and now_s - polled_s > SUSPECT_S:
+            self._cautious_until_s = now_s + CAUTIOUS_S
+            self._polled_s = now_s
+            self._unacknowledged.clear()
+
+    def _return_shard(
+        self, shard: ShardKey, owner: Member, now_s: float
+    ) -> None:
+        """Give a shard back to its owner with the flows opened meanwhile."""
+        self.admissions.pop(shard, None)
+        keys = self._deputized.pop(shard)
+        entries = []
+        for key in keys:
+            binding = self._state.home_binding(key)
+            if binding is not None and _is_live(binding):
+                entries.append(
+                    CopyEntry(key, binding.route.endpoint, binding.state),
+                )
+        for start in range(0, len(entries), _ENTRIES_PER_DATAGRAM):
+            batch = entries[start : start + _ENTRIES_PER_DATAGRAM]
+            self._state.send(owner, Kind.COPY, encode_entries(batch))
+        self._forward_lost(now_s)
+
+    def _cede(self, shard: ShardKey, sender: Member) -> None:
+        """Leave a shard to the instance that asks about its flows."""
+        homes = self._state.shard_homes(shard)
+        is_home = any(home.name == sender.name for home in homes)
+        if shard not in self.admissions or not is_home:
+            return
+        self.admissions.pop(shard)
+        self._deputized.pop(shard, None)
+        self._ceded[shard] = sender
+
+    def _open_or_look_up(
+        self,
+        key: bytes,
+        opening: _Opening,
+        listener: ListenerState,
+        now_s: float,
+    ) -> None:
+        state = self._state
+        binding = state.home_binding(key)
+        if binding is not None and _is_live(binding):
+            self._repeat(opening.segment, binding.route)
+            return
+        earlier = self._other_owner(listener.service, key, now_s)
+        if earlier is None:
+            self._open(key, opening, listener, now_s)
+            return
+        flags = self._zone_index(opening.ingress_zone)
+        state.send(earlier, Kind.LOOKUP, opening.segment, flags=flags)
+
+    def _other_owner(
+        self, service: str, key: bytes, now_s: float
+    ) -> Member | None:
+        """Return another instance that may have opened the flow."""
+        state = self._state
+        current = state.homes(service, key)
+        if now_s < self._cautious_until_s:
+            others = [home for home in current if not state.is_self(home)]
+            return others[0] if others else None
+        for view in state.views.earlier:
+            homes = view.homes(view.shard_of(service, key))
+            if any(state.is_self(home) for home in homes):
+                continue
+            for home in homes:
+                peer = state.peers.get(member_id(home.name))
+                if peer is not None and home not in current[:1]:
+                    return peer
+        return None
+
+    def _open(
+        self,
+        key: bytes,
+        opening: _Opening,
+        listener: ListenerState,
+        now_s: float,
+    ) -> None:
+        admission = self._admission(listener.service, key)
+        if admission is None:
+            self._state.counters.unknown_flow += 1
+            return
+        if len(self._state.streams) >= self._state.limits.home_flows:
+            self._refuse(key, opening, RefusedReason.NO_CAPACITY)
+            return
+        decision = admission.open(
+            key,
+            listener.listener,
+            opening.ingress_zone,
+            self._reachable_zones(now_s),
+            now_s,
+        )
+        self._openings[key] = opening
+        self._carry_out(decision, key, opening, now_s)
+
+    def _reachable_zones(self, now_s: float) -> frozenset[str]:
+        state = self._state
+        contact = state.zone_contact
+        return frozenset(
+            zone
+            for zone in state.zones
+            if zone not in state.routes.zones_out
+            and contact.is_reachable(zone, now_s)
+        )
+
+    @singledispatchmethod
+    def _carry_out(
+        self,
+        decision: object,
+        key: bytes,
+        opening: _Opening,
+        now_s: float,
+    ) -> None:
+        raise TypeError(type(decision).__name__)
+
+    @_carry_out.register
+    def _admit(
+        self, decision: Admitted, key: bytes, opening: _Opening, now_s: float
+    ) -> None:
+        state = self._state
+        listener = self._listener(opening.segment)
+        route = None
+        if listener is not None:
+            endpoint = Endpoint(
+                decision.target.address,
+                listener.listener.target_port,
+            )
+            route = state.routes.resolve(
+                pack_endpoint(endpoint),
+                listener.endpoint,
+            )
+        if route is None:
+            self._refuse(key, opening, RefusedReason.NO_TARGET)
+            return
+        state.counters.opened += 1
+        state.store(key, route, FlowState.OPENING)
+        deputized = self._deputized.get(
+            state.shard(route.listener.service, key),
+        )
+        if deputized is not None:
+            deputized.append(key)
+        homes = state.homes(route.listener.service, key)
+        self._pass_on(opening.segment, route, homes, 0)
+
+    @_carry_out.register
+    def _wait(
+        self, decision: Queued, key: bytes, opening: _Opening, now_s: float
+    ) -> None:
+        self._state.counters.queued += 1
+
+    @_carry_out.register
+    def _reject(
+        self, decision: Refused, key: bytes, opening: _Opening, now_s: float
+    ) -> None:
+        self._refuse(key, opening, decision.reason)
+
+    def _refuse(
+        self, key: bytes, opening: _Opening, reason: RefusedReason
+    ) -> None:
+        self._state.counters.count_refusal(reason.value)
+        self._openings.pop(key, None)
+        binding = self._state.home_binding(key)
+        if binding is not None:
+            self._state.table_of(binding.route).pop(key)
+        self._state.outbox.to_caller(build_reset(opening.segment))
+
+    def _pass_on(
+        self,
+        segment: bytes,
+        route: Route,
+        homes: tuple[Member, ...],
+        hops: int,
+    ) -> None:
+        """Send the SYN to the home after this one or, if last, the target."""
+        state = self._state
+        names = [home.name for home in homes]
+        following = len(names)
+        if state.identity.name in names:
+            following = names.index(state.identity.name) + 1
+        if following < len(names) and hops < HOME_COUNT - 1:
+            state.send(
+                homes[following],
+                Kind.REPLICATE,
+                segment,
+                route.endpoint,
+                hops,
+            )
+            return
+        self._send_syn(segment, route)
+
+    def _repeat(
+        self, segment: bytes, route: Route, also: Member | None = None
+    ) -> None:
+        """Repeat a SYN without depending on each home in turn.
+
+        A home that does not respond may be the reason for the repetition.
+        """
+        state = self._state
+        key = segment[FLOW_KEY]
+        homes = state.homes(route.listener.service, key)
+        if also is not None and also not in homes:
+            homes += (also,)
+        for home in homes:
+            if not state.is_self(home):
+                state.send(
+                    home,
+                    Kind.REPLICATE,
+                    segment,
+                    route.endpoint,
+                    _BROADCAST,
+                )
+        self._send_syn(segment, route)
+
+    def _send_syn(self, segment: bytes, route: Route) -> None:
+        state = self._state
+        if not route.is_allowed or not route.is_reachable:
+            state.counters.unreachable += 1
+            return
+        state.counters.forwarded += 1
+        state.outbox.to_target(
+            route.address,
+            rewrite_destination(segment, route.endpoint),
+        )
+
+    def _note_targets(self, now_s: float) -> None:
+        names = {
+            target.name
+            for service in self._state.routes.services.values()
+            for target in service.targets
+        }
+        is_first = not self._seen_s
+        seen_s = now_s - TARGET_ACTIVATION_S if is_first else now_s
+        self._seen_s = {name: self._seen_s.get(name, seen_s) for name in names}
+        self._activated = self._count_active(now_s)
+
+    def _count_active(self, now_s: float) -> int:
+        limit_s = now_s - TARGET_ACTIVATION_S
+        return sum(seen_s <= limit_s for seen_s in self._seen_s.values())
+
+    def _activate_targets(self, now_s: float) -> None:
+        if self._activated == len(self._seen_s):
+            return
+        active = self._count_active(now_s)
+        if active != self._activated:
+            self._activated = active
+            for shard in sorted(self.admissions):
+                self._apply_shard(shard, now_s)
+
+    def _apply_shard(self, shard: ShardKey, now_s: float) -> None:
+        state = self._state
+        service = state.routes.services[shard.service]
+        admission = self.admissions.get(shard)
+        is_new = admission is None
+        if admission is None:
+            admission = ShardAdmission(
+                shard.service,
+                shard.index,
+                AdmissionLimits(takeover_s=state.limits.takeover_s),
+                state.rng,
+                now_s,
+                takeover=self._follows_failure(shard),
+            )
+            self.admissions[shard] = admission
+        limit_s = now_s - TARGET_ACTIVATION_S
+        targets = tuple(
+            target
+            for target in targets_of_shard(service, shard.index)
+            if self._seen_s.get(target.name, now_s) <= limit_s
+        )
+        admission.apply(service, targets, state.routes.zones_out, now_s)
+        if is_new:
+            self._restore_shard(shard, admission, now_s)
+
+    def _follows_failure(self, shard: ShardKey) -> bool:
+        """Tell whether an earlier owner may go on deciding unnoticed.
+
+        A live earlier owner cedes the shard when it is asked for a flow.
+        """
+        state = self._state
+        if shard in self._deputized:
+            return True
+        for view in state.views.earlier[:1]:
+            homes = view.homes(shard)
+            if homes and not state.is_self(homes[0]):
+                return member_id(homes[0].name) not in state.peers
+        return False
+
+    def _restore_shard(
+        self, shard: ShardKey, admission: ShardAdmission, now_s: float
+    ) -> None:
+        state = self._state
+        for table in (state.requests, state.streams):
+            for key, binding in table:
+                if self._is_open_in(shard, key, binding):
+                    listener = binding.route.listener.listener
+                    name = binding.route.target.name
+                    admission.restore(key, listener, name, now_s)
+
+    def _is_open_in(
+        self, shard: ShardKey, key: bytes, binding: Binding
+    ) -> bool:
+        service = binding.route.listener.service
+        if service != shard.service or has_released_slot(binding.state):
+            return False
+        if not binding.route.is_allowed:
+            return False
+        return self._state.shard(service, key) == shard
+
+    def _forward_lost(self, now_s: float) -> None:
+        """Send queued SYNs of shards given up to their new owners."""
+        for key, opening in list(self._openings.items()):
+            listener = self._listener(opening.segment)
+            if listener is None:
+                del self._openings[key]
+                continue
+            if self._state.home_binding(key) is not None:
+                continue
+            if self._state.shard(listener.service, key) in self.admissions:
+                continue
+            del self._openings[key]
+            zone = opening.ingress_zone
+            self._route(opening.segment, listener, zone, 0, now_s)
+
+    def _expire(self, now_s: float) -> None:
+        limit_s = now_s - OPENING_LIFETIME_S
+        while self._openings:
+            key = next(iter(self._openings))
+            if self._openings[key].since_s > limit_s:
+                return
+            del self._openings[key]
+
+
+def _is_live(binding: Binding) -> bool:
+    return binding.state is not FlowState.CLOSED and binding.route.is_allowed
--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -3,20 +3,42 @@
 from typing import Final
 
 __all__ = (
+    'EXIT_SETTINGS',
+    'AddressReuseError',
+    'BuilderError',
     'ConfigurationError',
+    'DuplicateListenerError',
+    'DuplicateNameError',
+    'EmptyServiceError',
+    'GossipFormatError',
+    'InvalidAddressError',
+    'InvalidNameError',
     'InvariantViolation',
     'LeaseLostError',
+    'LinkFormatError',
+    'SectionDigestError',
     'SegmentFormatError',
     'SettingsError',
+    'SharedTargetPortError',
     'SiskinproxyError',
+    'StandinCommandError',
+    'StoreAccessError',
     'StoreConflictError',
+    'StoreDataError',
     'StoreError',
     'StoreOutcomeUnknownError',
     'StoreRateLimitError',
     'StoreUnavailableError',
+    'StoreValueSizeError',
+    'SubmissionReusedError',
     'TunnelFormatError',
+    'UnknownTargetError',
+    'UnknownZoneError',
+    'ValueRangeError',
+    'WrongRegionError',
 )
 
+#: Exit code of a process whose settings are wrong.
 EXIT_SETTINGS: Final = 2
 
 
@@ -53,6 +75,228 @@
     """A configuration breaks a rule; subclasses name the rule."""
 
 
+class BuilderError(ConfigurationError):
+    """A builder got a value of the wrong type or an unknown mode.
+
+    Parameters
+    ----------
+    kind : str
+        What was declared, such as ``listener``.
+    detail : str
+        Expected and found value with the name of the field.
+    """
+
+    def __init__(self, kind: str, detail: str) -> None:
+        super().__init__(f'kind={kind} detail="{detail}"')
+        self.kind = kind
+        self.detail = detail
+
+
+class InvalidNameError(ConfigurationError):
+    """A name is empty, too long or has characters that are not allowed.
+
+    Parameters
+    ----------
+    kind : str
+        ``region``, ``zone``, ``service``, ``target`` or ``listener``.
+    name : str
+        Name as declared.
+    """
+
+    def __init__(self, kind: str, name: str) -> None:
+        super().__init__(f'kind={kind} name={name!r}')
+        self.kind = kind
+        self.name = name
+
+
+class DuplicateNameError(ConfigurationError):
+    """Two zones, services or targets have the same name.
+
+    Parameters
+    ----------
+    kind : str
+        ``zone``, ``service`` or ``target``.
+    name : str
+        Name that is declared more than once.
+    """
+
+    def __init__(self, kind: str, name: str) -> None:
+        super().__init__(f'kind={kind} name={name}')
+        self.kind = kind
+        self.name = name
+
+
+class DuplicateListenerError(ConfigurationError):
+    """Two listeners have the same address and port.
+
+    Parameters
+    ----------
+    address : str
+        Service address.
+    port : int
+        Port of the service address.
+    """
+
+    def __init__(self, address: str, port: int) -> None:
+        super().__init__(f'address={address} port={port}')
+        self.address = address
+        self.port = port
+
+
+class SharedTargetPortError(ConfigurationError):
+    """A target address and port serves more than one listener or target.
+
+    Parameters
+    ----------
+    address : str
+        Target address.
+    port : int
+        Target port.
+    owners : tuple of str
+        ``service/listener/target`` of each use, the listener as
+        ``address:port``.
+    """
+
+    def __init__(
+        self, address: str, port: int, owners: tuple[str, ...]
+    ) -> None:
+        super().__init__(
+            f'address={address} port={port} owners={",".join(owners)}',
+        )
+        self.address = address
+        self.port = port
+        self.owners = owners
+
+
+class UnknownZoneError(ConfigurationError):
+    """A zone is not declared.
+
+    Parameters
+    ----------
+    zone : str
+        Zone as named.
+    target : str
+        Target that names the zone; empty if no target is concerned.
+    """
+
+    def __init__(self, zone: str, target: str = '') -> None:
+        super().__init__(f'zone={zone} target={target}')
+        self.zone = zone
+        self.target = target
+
+
+class UnknownTargetError(ConfigurationError):
+    """A target is not declared.
+
+    Parameters
+    ----------
+    target : str
+        Target as named.
+    """
+
+    def __init__(self, target: str) -> None:
+        super().__init__(f'target={target}')
+        self.target = target
+
+
+class EmptyServiceError(ConfigurationError):
+    """A service has no listeners or no targets.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    missing : {'listeners', 'targets'}
+        What the service lacks.
+    """
+
+    def __init__(self, service: str, missing: str) -> None:
+        super().__init__(f'service={service} missing={missing}')
+        self.service = service
+        self.missing = missing
+
+
+class InvalidAddressError(ConfigurationError):
+    """An address is not the dotted IPv4 address of a host.
+
+    Parameters
+    ----------
+    owner : str
+        Listener or target, such as ``target desk-1``.
+    address : str
+        Address as declared.
+    """
+
+    def __init__(self, owner: str, address: str) -> None:
+        super().__init__(f'owner="{owner}" address={address!r}')
+        self.owner = owner
+        self.address = address
+
+
+class ValueRangeError(ConfigurationError):
+    """A port or limit is outside its bounds.
+
+    Parameters
+    ----------
+    owner : str
+        Listener or target, such as ``target desk-1``.
+    field : str
+        Name of the field.
+    found : float
+        Value as declared.
+    bounds : tuple of float
+        Lowest and highest value that is allowed.
+    """
+
+    def __init__(
+        self,
+        owner: str,
+        field: str,
+        found: float,
+        bounds: tuple[float, float],
+    ) -> None:
+        super().__init__(
+            f'owner="{owner}" field={field} found={found} '
+            f'minimum={bounds[0]} maximum={bounds[1]}',
+        )
+        self.owner = owner
+        self.field = field
+        self.found = found
+        self.bounds = bounds
+
+
+class AddressReuseError(ConfigurationError):
+    """An address is declared for another service too early.
+
+    Parameters
+    ----------
+    address : str
+        Target address.
+    service : str
+        Service that declares the address now.
+    previous_service : str
+        Service whose flows may still use the address.
+    remaining_s : int
+        Time until the address may be declared, in seconds.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        service: str,
+        previous_service: str,
+        remaining_s: int,
+    ) -> None:
+        super().__init__(
+            f'address={address} service={service} '
+            f'previous_service={previous_service} remaining_s={remaining_s}',
+        )
+        self.address = address
+        self.service = service
+        self.previous_service = previous_service
+        self.remaining_s = remaining_s
+
+
 class SegmentFormatError(SiskinproxyError):
     """A datagram does not hold an IPv4 packet with a TCP segment."""
 
@@ -61,6 +305,14 @@
     """A datagram from another instance cannot be decoded."""
 
 
+class GossipFormatError(SiskinproxyError):
+    """A message between control processes is malformed or too long."""
+
+
+class LinkFormatError(SiskinproxyError):
+    """A frame between control and packet process is malformed or too long."""
+
+
 class InvariantViolation(SiskinproxyError):
     """An invariant of the design page does not hold.
 
@@ -106,3 +358,106 @@
 
 class LeaseLostError(StoreError):
     """The lease expired or was revoked."""
+
+
+class StandinCommandError(SiskinproxyError):
+    """A stand-in refused or failed to run a command of its control port."""
+
+    def __init__(self, command: str, detail: str) -> None:
+        super().__init__(f'command={command} detail="{detail}"')
+        self.command = command
+
+
+class StoreAccessError(StoreError):
+    """The store rejected the token of the call, which had no effect."""
+
+
+class StoreValueSizeError(StoreError):
+    """The value is larger than the store accepts; the call had no effect.
+
+    Parameters
+    ----------
+    key : str
+        Key of the write.
+    size_bytes : int
+        Size of the value.
+    limit_bytes : int
+        Largest size that the store accepts.
+    """
+
+    def __init__(self, key: str, size_bytes: int, limit_bytes: int) -> None:
+        super().__init__(f'key={key} size={size_bytes} limit={limit_bytes}')
+        self.key = key
+        self.size_bytes = size_bytes
+        self.limit_bytes = limit_bytes
+
+
+class StoreDataError(StoreError):
+    """A value of the store cannot be decoded, or an expected key is absent.
+
+    Parameters
+    ----------
+    key : str
+        Key of the value.
+    detail : str
+        What is wrong with the value.
+    """
+
+    def __init__(self, key: str, detail: str) -> None:
+        super().__init__(f'key={key} detail="{detail}"')
+        self.key = key
+        self.detail = detail
+
+
+class SectionDigestError(StoreError):
+    """A section of the configuration does not match the head's digest.
+
+    Parameters
+    ----------
+    index : int
+        Index of the section.
+    expected : str
+        Digest in the head, hexadecimal.
+    found : str
+        Digest of the content, hexadecimal; empty if the section is absent.
+    """
+
+    def __init__(self, index: int, expected: str, found: str) -> None:
+        super().__init__(f'section={index} expected={expected} found={found}')
+        self.index = index
+        self.expected = expected
+        self.found = found
+
+
+class SubmissionReusedError(ConfigurationError):
+    """A submission id was accepted before with another configuration.
+
+    Parameters
+    ----------
+    submission_id : str
+        Id of the submission.
+    generation : int
+        Generation that the id was accepted as.
+    """
+
+    def __init__(self, submission_id: str, generation: int) -> None:
+        super().__init__(f'submission={submission_id} generation={generation}')
+        self.submission_id = submission_id
+        self.generation = generation
+
+
+class WrongRegionError(ConfigurationError):
+    """A configuration was submitted to another region than its own.
+
+    Parameters
+    ----------
+    expected : str
+        Region that it was submitted to.
+    found : str
+        Region that it names.
+    """
+
+    def __init__(self, expected: str, found: str) -> None:
+        super().__init__(f'region={found} expected={expected}')
+        self.expected = expected
+        self.found = found
