--- a/siskinproxy/measure/admission_scenarios.py
+++ b/siskinproxy/measure/admission_scenarios.py
@@ -108,12 +108,15 @@
         Factor on the rate of the deployment.
     measured_s : float
         Length of the measurement.
+    slow_share : float
+        Share of the requests that take 20 times as long, whatever the target.
     """
 
     name: str
     actions: tuple[Action, ...] = ()
     load: float = 1
     measured_s: float = 100
+    slow_share: float = 0
 
 
 def _targets(
@@ -241,6 +244,7 @@
         (Action(15, 'shed', _FIRST), Action(45, 'stop_shedding', _FIRST)),
     ),
     Scenario('owner_fails', (Action(20, 'takeover'), Action(50, 'takeover'))),
+    Scenario('slow_requests', slow_share=0.01),
     Scenario('overload', load=3, measured_s=60),
 )
 
