--- a/siskinproxy/targets/target_state.py
+++ b/siskinproxy/targets/target_state.py
@@ -29,7 +29,7 @@
 
 #: Low median of the ages of requests in progress, relative to the baseline,
 #: above which a target counts as stalled, for a large number of requests.
-STALL_FACTOR: Final = 1.3
+STALL_FACTOR: Final = 2.0
 #: Raises the factor for few requests, whose ages vary more: to 4 for two and
 #: to 3 for four requests. With exponentially distributed completion times all
 #: of two exceed 4 with a probability of 3.4e-4.
@@ -41,7 +41,7 @@
 #: its target is not stalled.
 NORMAL_FACTOR: Final = 2.0
 #: Multiple of the stall threshold that counts as a cold start.
-STALL_COLD_FACTOR: Final = 3.0
+STALL_COLD_FACTOR: Final = 2.0
 
 
 class TargetStatus(enum.Enum):
