Suspect silent replicas; recognise a common cause of slow answers

Cause 1: a paused second home swallowed every SYN of its shards until the membership protocol noticed, since only owners acknowledged. Cause 2: the loss made all targets of the service look cold one after the other, and their warm-ups refused most flows for 10 s. Cause 3: homes that had not applied the return of a zone recorded flows with a revoked route and reset them later.

Ruled out: too little capacity (4 warm targets carry 400 of 250 requests/s), a standing queue alone (it drains within 0.5 s once slots are free).

Change: homes acknowledge replications too, every 0.05 s, and a silent home is passed over after 0.2 s; if more than half of the targets would be in a warm-up for slowness, these warm-ups end and slowness is no evidence for 3 s; targets of a returned zone get flows after 2 s; a home skips entries that it may not use.

The rest is loss on the way to the failed or paused instance until the fabric's list changes.

--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -1,7 +1,7 @@
 """Opening of flows: the owner selects a target and informs the homes."""
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Final
 
@@ -47,8 +47,9 @@
 #: this many hops the receiver decides.
 MAX_OPEN_HOPS: Final = 2
 
-#: A new target gets its first flow after this time, so that the answers meet
-#: no instance that has not yet applied the generation.
+#: A new target, or one whose zone returns to service, gets its first flow after
+#: this time, so that no instance handles its segments that has not yet applied
+#: the generation.
 TARGET_ACTIVATION_S: Final = 2.0
 
 #: Time for which the owner keeps a SYN to repeat it at another target.
@@ -61,6 +62,10 @@
 _FAILOVER: Final = 0x80
 _ZONE_MASK: Final = 0x7F
 
+#: Interval of acknowledgments to one sender; a quarter of `SUSPECT_S`, so that
+#: one lost datagram causes no suspicion.
+ACKNOWLEDGE_PERIOD_S: Final = 0.05
+
 #: After a pause of the process, other homes may have opened its flows, so it
 #: asks them for this time.
 CAUTIOUS_S: Final = 2.0
@@ -68,11 +73,15 @@
 
 @dataclass(slots=True)
 class _Opening:
-    """SYN of a flow that no target has accepted yet."""
+    """SYN of a flow that no target has accepted yet.
+
+    The route is set if the SYN was sent to a home as a replication.
+    """
 
     segment: bytes
     ingress_zone: str
     since_s: float
+    route: Route | None = None
 
 
 class FlowOpener:
@@ -85,6 +94,7 @@
     """
 
     __slots__ = (
+        '_acknowledged_s',
         '_activated',
         '_cautious_until_s',
         '_ceded',
@@ -106,6 +116,7 @@
         self._activated = 0
         self._unacknowledged: dict[str, deque[_Opening]] = {}
         self._owed: set[int] = set()
+        self._acknowledged_s = float(0)
         self._deputized: dict[ShardKey, list[bytes]] = {}
         self._ceded: dict[ShardKey, Member] = {}
         self._polled_s: float | None = None
@@ -158,7 +169,7 @@
         """Carry out decisions for queued flows and drop old openings."""
         self._note_pause(now_s)
         self._polled_s = now_s
-        self._acknowledge()
+        self._acknowledge(now_s)
         self._suspect_silent(now_s)
         self._activate_targets(now_s)
         for admission in list(self.admissions.values()):
@@ -230,15 +241,18 @@
     ) -> None:
         """Record the target of a flow and pass the SYN on."""
         state = self._state
+        self._owed.add(header.sender)
         key = segment[FLOW_KEY]
         route = state.routes.resolve(
             header.target,
             segment[16:20] + segment[22:24],
         )
-        if route is None:
-            # The configuration here does not have this target, so only an
-            # instance that has it may send the segment.
+        if route is None or not route.is_allowed:
+            # The sender has another configuration. An entry made here would
+            # stay invalid, and only an instance whose configuration permits
+            # the target may send the segment.
             state.counters.unknown_service += 1
+            self._skip(header, segment)
             return
         known = state.home_binding(key)
         if known is not None and _contradicts(known, route):
@@ -251,7 +265,8 @@
         if header.position == _BROADCAST:
             return
         homes = state.homes(route.listener.service, key)
-        self._pass_on(segment, route, homes, header.position + 1)
+        opening = _Opening(segment, state.identity.zone, now_s, route)
+        self._pass_on(opening, route, homes, header.position + 1)
 
     def replace_opening(
         self, key: bytes, binding: Binding, now_s: float
@@ -383,10 +398,14 @@
         homes = state.views.current.homes(shard)
         if homes and owner.name != homes[0].name:
             flags |= _FAILOVER
-        sent = self._unacknowledged.setdefault(owner.name, deque())
-        sent.append(opening)
+        self._await(owner, opening)
         state.send(owner, Kind.OPEN, segment, position=hops, flags=flags)
 
+    def _await(self, member: Member, opening: _Opening) -> None:
+        """Expect a sign of life of a member that gets an opening segment."""
+        sent = self._unacknowledged.setdefault(member.name, deque())
+        sent.append(opening)
+
     def _acting_owner(self, shard: ShardKey) -> Member | None:
         """Return the other instance that decides, or None if it is this."""
         state = self._state
@@ -420,11 +439,14 @@
                 return
             state.suspects.add(home.name)
 
-    def _acknowledge(self) -> None:
-        """Show the senders of opening segments that this owner is alive.
+    def _acknowledge(self, now_s: float) -> None:
+        """Show the senders of opening segments that this home is alive.
 
-        One datagram in each timer period answers all segments of a sender.
+        One datagram in each period answers all segments of a sender.
         """
+        if now_s - self._acknowledged_s < ACKNOWLEDGE_PERIOD_S:
+            return
+        self._acknowledged_s = now_s
         for sender_id in self._owed:
             sender = self._state.peers.get(sender_id)
             if sender is not None:
@@ -432,21 +454,23 @@
         self._owed.clear()
 
     def _suspect_silent(self, now_s: float) -> None:
-        """Send the SYNs of silent owners to the next homes."""
+        """Send the SYNs that silent homes got by another way."""
         for name, sent in list(self._unacknowledged.items()):
             if not sent or now_s - sent[0].since_s < SUSPECT_S:
                 continue
             self._state.suspects.add(name)
             self._unacknowledged.pop(name)
             for opening in sent:
-                listener = self._listener(opening.segment)
-                if listener is not None:
-                    self._fail_over(opening, listener, now_s)
+                self._fail_over(opening, now_s)
 
-    def _fail_over(
-        self, opening: _Opening, listener: ListenerState, now_s: float
-    ) -> None:
-        """Send a SYN to the next home, once; the caller repeats it else."""
+    def _fail_over(self, opening: _Opening, now_s: float) -> None:
+        """Send a SYN again, once; after that its caller repeats it."""
+        if opening.route is not None:
+            self._repeat(opening.segment, opening.route)
+            return
+        listener = self._listener(opening.segment)
+        if listener is None:
+            return
         zone = opening.ingress_zone
         self._route(opening.segment, listener, zone, 0, now_s)
         key = opening.segment[FLOW_KEY]
@@ -510,6 +534,26 @@
         flags = self._zone_index(opening.ingress_zone)
         state.send(earlier, Kind.LOOKUP, opening.segment, flags=flags)
 
+    def _skip(self, header: TunnelHeader, segment: bytes) -> None:
+        """Pass a SYN on to the home after this one without recording it."""
+        state = self._state
+        listener = self._listener(segment)
+        if listener is None or header.position == _BROADCAST:
+            return
+        homes = state.homes(listener.service, segment[FLOW_KEY])
+        names = [home.name for home in homes]
+        following = header.position + 1
+        if state.identity.name in names:
+            following = names.index(state.identity.name) + 1
+        if following < len(homes):
+            state.send(
+                homes[following],
+                Kind.REPLICATE,
+                segment,
+                header.target,
+                header.position + 1,
+            )
+
     def _correct(
         self, header: TunnelHeader, key: bytes, known: Binding
     ) -> None:
@@ -608,7 +652,8 @@
         if deputized is not None:
             deputized.append(key)
         homes = state.homes(route.listener.service, key)
-        self._pass_on(opening.segment, route, homes, 0)
+        sent = replace(opening, since_s=now_s, route=route)
+        self._pass_on(sent, route, homes, 0)
 
     @_carry_out.register
     def _wait(
@@ -634,7 +679,7 @@
 
     def _pass_on(
         self,
-        segment: bytes,
+        opening: _Opening,
         route: Route,
         homes: tuple[Member, ...],
         hops: int,
@@ -646,15 +691,17 @@
         if state.identity.name in names:
             following = names.index(state.identity.name) + 1
         if following < len(names) and hops < HOME_COUNT - 1:
+            member = homes[following]
+            self._await(member, opening)
             state.send(
-                homes[following],
+                member,
                 Kind.REPLICATE,
-                segment,
+                opening.segment,
                 route.endpoint,
                 hops,
             )
             return
-        self._send_syn(segment, route)
+        self._send_syn(opening.segment, route)
 
     def _repeat(
         self, segment: bytes, route: Route, also: Member | None = None
@@ -695,6 +742,7 @@
             target.name
             for service in self._state.routes.services.values()
             for target in service.targets
+            if target.zone not in self._state.routes.zones_out
         }
         is_first = not self._seen_s
         seen_s = now_s - TARGET_ACTIVATION_S if is_first else now_s
@@ -726,7 +774,8 @@
         targets = tuple(
             target
             for target in targets_of_shard(service, shard.index)
-            if self._seen_s.get(target.name, now_s) <= limit_s
+            if target.zone in state.routes.zones_out
+            or self._seen_s.get(target.name, now_s) <= limit_s
         )
         admission.apply(service, targets, state.routes.zones_out, now_s)
         if is_new:
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -49,6 +49,13 @@
 #: Mean deviations above the mean completion time that are reserved before the
 #: deadline of a queued flow, as in the retransmission timeout of RFC 6298.
 DEVIATIONS: Final = 4
+#: Reasons that packet loss or a slow network can also cause.
+SLOW_REASONS: Final = frozenset(
+    (ColdStartReason.STALLED, ColdStartReason.SLOW_COMPLETIONS),
+)
+#: Time for which slow answers are no evidence after a common cause: packet loss
+#: lasts until the fabric's list of instances is up to date.
+COMMON_CAUSE_S: Final = 3.0
 _MS_PER_S: Final = 1000.0
 
 _Decision = Admitted | Refused
@@ -104,6 +111,7 @@
         self._budget = RetryBudget(limits.retry_share, limits.retry_floor_per_s)
         self._refreshed_s = -math.inf
         self._completion_s = limits.default_completion_s
+        self._common_cause_until_s = -math.inf
         self._completion_bound_s = limits.default_completion_s
         self._mean_busy_s: dict[Mode, float] = {'request': 0, 'stream': 0}
 
@@ -688,9 +696,34 @@
             return
         if reason is ColdStartReason.REFUSALS:
             state.pause_after_refusals(now_s)
-        state.begin_warmup(reason, now_s)
+        self._begin_warmup(state, reason, now_s)
         self._refresh(now_s)
 
+    def _begin_warmup(
+        self, state: TargetState, reason: ColdStartReason, now_s: float
+    ) -> None:
+        """Start a warm-up unless too many targets seem cold at once.
+
+        Slow answers of most targets have a common cause, such as packet loss
+        on the way, and warm-ups of all of them would refuse nearly all flows.
+        """
+        if reason is ColdStartReason.REFUSALS:
+            state.begin_warmup(reason, now_s)
+            return
+        if now_s < self._common_cause_until_s:
+            return
+        serving = [item for item in self._states.values() if item.serves]
+        slow = [item for item in serving if item.cold_start in SLOW_REASONS]
+        slow = [item for item in slow if item.warmup is not None]
+        if 2 * (len(slow) + 1) <= max(len(serving), 2):
+            state.begin_warmup(reason, now_s)
+            return
+        self._common_cause_until_s = now_s + COMMON_CAUSE_S
+        for item in slow:
+            item.warmup = None
+            item.evidence.restart()
+        state.evidence.restart()
+
     def _peer_slowdown(self, state: TargetState) -> float:
         peers = [
             peer.evidence.slowdown
@@ -741,7 +774,7 @@
         for state, level in zip(serving, levels, strict=True):
             state.set_stalled(level >= 1, now_s)
             if level >= STALL_COLD_FACTOR and state.warmup is None:
-                state.begin_warmup(ColdStartReason.STALLED, now_s)
+                self._begin_warmup(state, ColdStartReason.STALLED, now_s)
 
     def _advance_warmup(self, state: TargetState, now_s: float) -> None:
         warmup = state.warmup
