--- a/siskinproxy/standins/fake_store_client.py
+++ b/siskinproxy/standins/fake_store_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, Final, Literal, TypeAlias
+from typing import Any, Literal, TypeAlias
 
 from siskinproxy.errors import (
     LeaseLostError,
@@ -14,12 +14,10 @@
     StoreValueSizeError,
 )
 from siskinproxy.standins.memory_store import WRITE_CALLS, MemoryStore
+from siskinproxy.standins.store_watch import wait_for_change
 from siskinproxy.store.client import KeyValue
 
-__all__ = ('WATCH_POLL_S', 'FakeKeyValueClient', 'PlannedFault')
-
-#: Interval at which a waiting watch looks at its key.
-WATCH_POLL_S: Final = 0.01
+__all__ = ('FakeKeyValueClient', 'PlannedFault')
 
 _Execute: TypeAlias = Callable[[], Any]
 
@@ -152,15 +150,16 @@
         timeout_s: float,
     ) -> KeyValue:
         """Wait until a key has another version than the given one."""
-        end_s = self._clock() + timeout_s
-        current = await self._call(
-            'Watch', key, lambda: self._store.get(key, self._clock())
+        # Checks and counts the call; the store is looked at below.
+        await self._call('Watch', key, lambda: None)
+        return await wait_for_change(
+            self._store,
+            key,
+            after_version,
+            timeout_s,
+            self._clock,
+            self._check_reachable,
         )
-        while current.version == after_version and self._clock() < end_s:
-            await self._sleep(WATCH_POLL_S)
-            self._check_reachable()
-            current = self._store.get(key, self._clock())
-        return current
 
     def _check_reachable(self) -> None:
         faults = self._store.faults
--- a/siskinproxy/standins/memory_store.py
+++ b/siskinproxy/standins/memory_store.py
@@ -5,6 +5,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from typing import Final, Literal
 
@@ -128,6 +129,15 @@
         self._window_s = -1
         self._used: Counter[str] = Counter()
         self._pending: list[tuple[float, str, bytes]] = []
+        self._listeners: set[Callable[[], None]] = set()
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of a key."""
+        self._listeners.add(listener)
+
+    def unsubscribe(self, listener: Callable[[], None]) -> None:
+        """End a subscription."""
+        self._listeners.discard(listener)
 
     def admit(self, kind: str, now_s: float) -> None:
         """Count a call against the rate limit.
@@ -245,8 +255,17 @@
             raise LeaseLostError(f'lease={lease_id}')
 
     def _write(self, key: str, value: bytes, lease_id: int = 0) -> None:
+        self._entries[key] = _Entry(value, self._revision + 1, lease_id)
+        self._notify()
+
+    def _remove(self, key: str) -> None:
+        self._entries.pop(key, None)
+        self._notify()
+
+    def _notify(self) -> None:
         self._revision += 1
-        self._entries[key] = _Entry(value, self._revision, lease_id)
+        for listener in tuple(self._listeners):
+            listener()
 
     def _end_lease(self, lease_id: int) -> None:
         self._leases.pop(lease_id)
@@ -256,8 +275,7 @@
             if entry.lease_id == lease_id
         ]
         for key in owned:
-            self._revision += 1
-            self._entries.pop(key)
+            self._remove(key)
 
     def _advance(self, now_s: float) -> None:
         expired = [
@@ -276,5 +294,4 @@
         if value:
             self._write(key, value)
         else:
-            self._revision += 1
-            self._entries.pop(key, None)
+            self._remove(key)
--- a/siskinproxy/standins/store.py
+++ b/siskinproxy/standins/store.py
@@ -26,7 +26,6 @@
     StoreValueSizeError,
 )
 from siskinproxy.standins.fake_store_client import (
-    WATCH_POLL_S,
     FakeKeyValueClient,
 )
 from siskinproxy.standins.memory_store import (
@@ -39,6 +38,7 @@
 )
 from siskinproxy.standins.proto import store_faults_pb2
 from siskinproxy.standins.proto.store_faults_grpc import StoreControlBase
+from siskinproxy.standins.store_watch import wait_for_change
 from siskinproxy.store.client import KeyValue
 from siskinproxy.store.proto import store_pb2
 from siskinproxy.store.proto.store_grpc import KeyValueStoreBase
@@ -102,11 +102,13 @@
 
     async def Watch(self, stream: Stream[Any, Any]) -> None:
         req = await self._receive('Watch', stream)
-        end_s = time.monotonic() + req.timeout_s
-        current = self._store.get(req.key, time.monotonic())
-        while current.version == req.after_version and time.monotonic() < end_s:
-            await asyncio.sleep(WATCH_POLL_S)
-            current = self._store.get(req.key, time.monotonic())
+        current = await wait_for_change(
+            self._store,
+            req.key,
+            req.after_version,
+            req.timeout_s,
+            time.monotonic,
+        )
         await stream.send_message(_response(req.key, current))
 
     async def _serve(
--- a/siskinproxy/standins/virtual_time.py
+++ b/siskinproxy/standins/virtual_time.py
@@ -3,10 +3,15 @@
 import asyncio
 import selectors
 from collections.abc import Coroutine
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 __all__ = ('VirtualTimeLoop', 'run_virtual')
 
+#: Time that an iteration of the loop takes. Timers fire up to the resolution
+#: of the clock early, so a task that waits for less than this would repeat
+#: without an end if the time stood still.
+ITERATION_S: Final = 1e-9
+
 _Result = TypeVar('_Result')
 
 
@@ -26,7 +31,7 @@
             return events
         if timeout is None:
             raise RuntimeError('every task waits without a time limit')
-        self.now_s += max(timeout, 0)
+        self.now_s += max(timeout, ITERATION_S)
         return []
 
 
--- a/siskinproxy/store/__init__.py
+++ b/siskinproxy/store/__init__.py
@@ -20,7 +20,9 @@
     referenced_sections,
     section_key,
 )
+from siskinproxy.store.head_reader import HeadReader
 from siskinproxy.store.options import RetryPolicy, SubmitOptions
+from siskinproxy.store.readers import ReaderRole
 from siskinproxy.store.results import (
     Accepted,
     Conflict,
@@ -38,10 +40,12 @@
     'Conflict',
     'GrpcKeyValueClient',
     'Head',
+    'HeadReader',
     'KeyValue',
     'KeyValueClient',
     'OutcomeUnknown',
     'Rejected',
+    'ReaderRole',
     'RetryPolicy',
     'SubmissionResult',
     'SubmitOptions',
--- /dev/null
+++ b/siskinproxy/store/tests/test_head_reader.py
@@ -0,0 +1,219 @@
+import asyncio
+import contextlib
+import random
+from collections import Counter
+
+import pytest
+
+from siskinproxy.standins.store import FakeKeyValueClient, MemoryStore
+from siskinproxy.standins.virtual_time import run_virtual
+from siskinproxy.store import head_reader, readers
+from siskinproxy.store.head import head_key
+from siskinproxy.store.head_reader import HeadReader
+
+REGION = 'alfold'
+
+
+class Fleet:
+    """Head readers of some zones on one store."""
+
+    def __init__(self, zones, members, seed=1):
+        self.store = MemoryStore()
+        self.seen = {}
+        self.clients = {}
+        self.readers = {}
+        for zone in zones:
+            for number in range(members):
+                self.add(zone, f'{zone}{number}', members, seed)
+
+    def add(self, zone, name, members, seed):
+        client = FakeKeyValueClient(self.store, name, plan={})
+        seen = self.seen.setdefault(name, [])
+        rng = random.Random(f'{seed} {name}')
+        self.clients[name] = client
+        self.readers[name] = HeadReader(
+            client, REGION, zone, name, seen.append, rng
+        )
+
+    async def start(self, members):
+        for reader in self.readers.values():
+            await reader.start()
+            reader.set_zone_members(members)
+
+    async def close(self):
+        for reader in self.readers.values():
+            await reader.close()
+
+    def acting(self):
+        return sorted(
+            name for name, reader in self.readers.items() if reader.is_reader
+        )
+
+    def calls(self):
+        total = Counter()
+        for client in self.clients.values():
+            total.update(client.calls)
+        return total
+
+    def write_head(self, value):
+        now_s = asyncio.get_running_loop().time()
+        version = self.store.get(head_key(REGION), now_s).version
+        return self.store.compare_and_swap(
+            head_key(REGION), value, version, 0, now_s
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(zones, members):
+    fleet = Fleet(zones, members)
+    await fleet.start(members)
+    try:
+        yield fleet
+    finally:
+        await fleet.close()
+
+
+def per_zone(names):
+    return Counter(name[0] for name in names)
+
+
+def test_two_readers_per_zone_see_each_head():
+    """Guards against a zone without reader and against missed changes."""
+
+    async def scenario():
+        async with running('abc', 4) as fleet:
+            await asyncio.sleep(60)
+            acting = fleet.acting()
+            assert per_zone(acting) == {'a': 2, 'b': 2, 'c': 2}
+            for value in (b'one', b'two'):
+                written = fleet.write_head(value)
+                await asyncio.sleep(0.1)
+                for name in acting:
+                    assert fleet.seen[name][-1] == written
+            assert not any(
+                fleet.seen[name] for name in fleet.seen if name not in acting
+            )
+
+    run_virtual(scenario())
+
+
+def test_closed_reader_is_replaced():
+    """Guards against a slot that stays taken after a planned stop."""
+
+    async def scenario():
+        async with running('a', 4) as fleet:
+            await asyncio.sleep(60)
+            first = fleet.acting()
+            for name in first:
+                await fleet.readers[name].close()
+            prefix = readers.reader_prefix(REGION, 'a')
+            assert fleet.store.list(prefix, 60) == ()
+            await asyncio.sleep(120)
+            assert len(fleet.acting()) == 2
+            assert not set(fleet.acting()) & set(first)
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize('outage_s', [0.5, 5, 30, 3600])
+def test_readers_return_after_an_outage(outage_s):
+    """Guards against changes that no zone reads after an outage."""
+
+    async def scenario():
+        async with running('abc', 4) as fleet:
+            await asyncio.sleep(60)
+            fleet.store.faults.outage = True
+            await asyncio.sleep(outage_s)
+            if outage_s > readers.LEASE_TTL_S:
+                assert fleet.acting() == []
+            fleet.store.faults.outage = False
+            await asyncio.sleep(2 * readers.MAX_RETRY_S)
+            written = fleet.write_head(b'new')
+            await asyncio.sleep(head_reader.MAX_WATCH_RETRY_S)
+            acting = fleet.acting()
+            assert per_zone(acting) == {'a': 2, 'b': 2, 'c': 2}
+            for name in acting:
+                assert fleet.seen[name][-1] == written
+
+    run_virtual(scenario())
+
+
+def test_cut_reader_stops_before_its_lease_ends():
+    """Guards against two holders of a slot after a partition."""
+
+    async def scenario():
+        async with running('a', 3) as fleet:
+            await asyncio.sleep(60)
+            cut = fleet.acting()[0]
+            fleet.store.faults.cut_clients.add(cut)
+            await asyncio.sleep(readers.LEASE_TTL_S)
+            assert not fleet.readers[cut].is_reader
+            await asyncio.sleep(60)
+            assert len(fleet.acting()) == 2
+            assert cut not in fleet.acting()
+            written = fleet.write_head(b'new')
+            await asyncio.sleep(1)
+            assert written not in fleet.seen[cut]
+
+    run_virtual(scenario())
+
+
+async def count_calls(members, outage_s):
+    async with running('abc', members) as fleet:
+        await asyncio.sleep(300)
+        before = fleet.calls()
+        fleet.store.faults.outage = outage_s > 0
+        await asyncio.sleep(outage_s)
+        fleet.store.faults.outage = False
+        await asyncio.sleep(600)
+        return fleet.calls() - before
+
+
+@pytest.mark.parametrize('outage_s', [0, 600], ids=['steady', 'outage'])
+def test_calls_do_not_grow_with_the_fleet(outage_s):
+    """Guards against a store whose load grows with the number of instances."""
+    small = run_virtual(count_calls(3, outage_s))
+    large = run_virtual(count_calls(60, outage_s))
+    # At most 0.2 looks/s for each of the 3 zones, whatever their size.
+    looks = 0.2 * 3 * (600 + outage_s)
+    assert large.total() <= small.total() * 1.1 + looks
+    assert large['KeepAlive'] <= small['KeepAlive'] * 1.1 + 20
+    assert large['Watch'] <= small['Watch'] * 1.1 + 20
+
+
+def test_contact_is_recent_while_the_store_answers():
+    """Guards against zones that doubt a reader between two watches."""
+
+    async def scenario():
+        async with running('a', 2) as fleet:
+            await asyncio.sleep(60)
+            loop = asyncio.get_running_loop()
+            for _second in range(100):
+                await asyncio.sleep(0.97)
+                for reader in fleet.readers.values():
+                    assert loop.time() - reader.last_contact_s < 1.5
+            stopped_s = loop.time()
+            fleet.store.faults.outage = True
+            await asyncio.sleep(60)
+            for reader in fleet.readers.values():
+                assert reader.last_contact_s <= stopped_s
+
+    run_virtual(scenario())
+
+
+def test_failing_callback_is_reported():
+    """Guards against a reader that stops without notice."""
+
+    async def scenario():
+        def fail(_found):
+            raise ValueError('broken')
+
+        store = MemoryStore()
+        client = FakeKeyValueClient(store)
+        reader = HeadReader(client, REGION, 'a', 'n', fail, random.Random(1))
+        await client.compare_and_swap(head_key(REGION), b'x', 0)
+        await reader.start()
+        with pytest.raises(ValueError, match='broken'):
+            await asyncio.wait_for(reader.wait(), 60)
+
+    run_virtual(scenario())
--- /dev/null
+++ b/siskinproxy/store/tests/test_readers.py
@@ -0,0 +1,313 @@
+import heapq
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from siskinproxy.errors import (
+    LeaseLostError,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from siskinproxy.standins.store import MemoryStore
+from siskinproxy.store import readers
+from siskinproxy.store.readers import (
+    ClaimSlot,
+    ListReaders,
+    ReaderRecord,
+    ReaderRole,
+    RenewLease,
+    RequestLease,
+    Sleep,
+)
+
+ZONE = ('alfold', 'a')
+LOST = StoreOutcomeUnknownError('lost')
+DOWN = StoreUnavailableError('down')
+
+
+def make_role(name='n1', now_s=0):
+    role = ReaderRole(name, random.Random(1), now_s)
+    return role, now_s + readers.START_SPREAD_S
+
+
+def claiming():
+    role, now_s = make_role()
+    assert isinstance(role.next_step(now_s), ListReaders)
+    role.on_listed({0: ReaderRecord('n9', 9)}, now_s)
+    assert role.next_step(now_s) == RequestLease(readers.LEASE_TTL_S)
+    role.on_lease(7, now_s, now_s)
+    step = role.next_step(now_s)
+    assert step == ClaimSlot(1, ReaderRecord('n1', 7))
+    return role, now_s, step
+
+
+def holding():
+    role, now_s, _step = claiming()
+    role.on_claimed(now_s)
+    assert role.is_reader(now_s)
+    return role, now_s
+
+
+def test_holder_renews_until_the_lease_is_lost():
+    """Guards against a holder that keeps a role which another may take."""
+    role, now_s = holding()
+    due_s = now_s + readers.RENEW_INTERVAL_S
+    assert role.next_step(now_s) == Sleep(due_s, 'renew the lease')
+    assert role.next_step(due_s) == RenewLease(7)
+    role.on_renewed(due_s, due_s + 0.5)
+    assert role.next_step(due_s + 1) == RenewLease(7)
+    assert role.is_reader(due_s + 8.9)
+    role.on_failure(RenewLease(7), LeaseLostError(), due_s + 1.2)
+    assert not role.is_reader(due_s + 1.2)
+
+
+@pytest.mark.parametrize('pause_s', [9.0, 9.5, 60, 10**6])
+def test_paused_holder_is_no_reader(pause_s):
+    """Guards against a resumed holder that acts before it calls the store."""
+    role, now_s = holding()
+    assert not role.is_reader(now_s + pause_s)
+    step = role.next_step(now_s + pause_s)
+    assert isinstance(step, Sleep)
+    assert step.until_s <= now_s + pause_s + readers.FIRST_RETRY_S
+    assert role.reason == 'lease ran out'
+
+
+def test_lease_counts_from_before_the_call():
+    """Guards against a slow answer that makes the lease look longer."""
+    role, now_s = make_role()
+    role.on_listed({}, now_s)
+    role.on_lease(7, now_s, now_s + 8)
+    role.on_claimed(now_s + 8.5)
+    assert role.is_reader(now_s + 8.9)
+    assert not role.is_reader(now_s + 9)
+    role.on_renewed(now_s + 8, now_s + 20)
+    assert not role.is_reader(now_s + 20)
+
+
+@pytest.mark.parametrize(
+    ('records', 'reader', 'step'),
+    [
+        ({1: ReaderRecord('n1', 7)}, True, None),
+        ({}, False, ClaimSlot(1, ReaderRecord('n1', 7))),
+        ({1: ReaderRecord('n1', 6)}, False, None),
+        ({1: ReaderRecord('n2', 8)}, False, None),
+    ],
+    ids=['took-effect', 'not-yet', 'former-lease', 'lost-the-race'],
+)
+def test_lost_answer_of_a_claim_is_resolved(records, reader, step):
+    """Guards against two holders of a slot, or one holder of two slots."""
+    role, now_s, claim = claiming()
+    role.on_failure(claim, LOST, now_s)
+    assert not role.is_reader(now_s)
+    now_s += readers.FIRST_RETRY_S
+    assert isinstance(role.next_step(now_s), ListReaders)
+    role.on_listed(records, now_s)
+    assert role.is_reader(now_s) is reader
+    if step is not None:
+        assert role.next_step(now_s) == step
+
+
+@pytest.mark.parametrize('members', [1, 8, 121])
+def test_instance_without_role_looks_rarely(members):
+    """Guards against calls that grow with the fleet."""
+    role, now_s = make_role()
+    role.set_zone_members(members)
+    taken = {0: ReaderRecord('n8', 8), 1: ReaderRecord('n9', 9)}
+    looks = 0
+    end_s = now_s + 36000
+    while now_s < end_s:
+        step = role.next_step(now_s)
+        if isinstance(step, Sleep):
+            assert step.until_s >= now_s + readers.LOOK_INTERVAL_S
+            now_s = step.until_s
+            continue
+        looks += 1
+        # An outage must not make it look more often either.
+        if looks % 2:
+            role.on_listed(taken, now_s)
+        else:
+            role.on_failure(step, DOWN, now_s)
+    zone_rate = looks * members / 36000
+    assert zone_rate < 0.2 * 1.4
+
+
+def test_former_holder_retries_with_growing_delay():
+    """Guards against a burst of calls at the end of a long outage."""
+    role, now_s = holding()
+    end_s = now_s + 3600
+    delays = []
+    while now_s < end_s:
+        step = role.next_step(now_s)
+        if isinstance(step, Sleep):
+            delays.append(step.until_s - now_s)
+            now_s = step.until_s
+        else:
+            role.on_failure(step, DOWN, now_s)
+    assert all(delay <= readers.MAX_RETRY_S for delay in delays)
+    assert len(delays) < 3600 / (readers.MAX_RETRY_S / 2) + 20
+    assert min(delays[-50:]) >= readers.MAX_RETRY_S / 2
+
+
+def test_former_holder_waits_for_its_own_lease_to_end():
+    """Guards against leaving a slot vacant after a short partition."""
+    role, now_s = holding()
+    now_s += readers.LEASE_TTL_S - readers.LEASE_MARGIN_S
+    now_s = role.next_step(now_s).until_s
+    assert isinstance(role.next_step(now_s), ListReaders)
+    role.on_listed({0: ReaderRecord('n9', 9), 1: ReaderRecord('n1', 7)}, now_s)
+    assert role.next_step(now_s).until_s < now_s + 1
+
+
+def test_conflict_ends_the_attempt():
+    """Guards against an instance that fights for a slot."""
+    role, now_s, claim = claiming()
+    role.on_failure(claim, StoreConflictError('k', 0, 3), now_s)
+    step = role.next_step(now_s)
+    assert step.until_s >= now_s + readers.LOOK_INTERVAL_S
+
+
+def test_unreadable_record_counts_as_taken():
+    """Guards against claiming the slot of an instance of a later version."""
+    store = MemoryStore()
+    store.compare_and_swap(readers.reader_key(*ZONE, 0), b'{', 0, 0, 0)
+    store.compare_and_swap(readers.reader_prefix(*ZONE) + 'x', b'', 0, 0, 0)
+    listed = store.list(readers.reader_prefix(*ZONE), 0)
+    assert set(readers.decode_readers(listed)) == {0}
+
+
+class Simulation:
+    """Instances of one zone whose calls and pauses take random times."""
+
+    def __init__(self, seed, instances):
+        self.rng = random.Random(seed)
+        self.store = MemoryStore()
+        self.events = []
+        self.order = itertools.count()
+        self.roles = [
+            ReaderRole(f'n{number}', random.Random(seed + number), 0)
+            for number in range(instances)
+        ]
+        self.outage_until_s = 0
+        self.handovers = 0
+        for role in self.roles:
+            self.at(0, self.step, role)
+
+    def at(self, time_s, handler, *args):
+        heapq.heappush(self.events, (time_s, next(self.order), handler, args))
+
+    def run(self, end_s):
+        while self.events[0][0] < end_s:
+            now_s, _order, handler, args = heapq.heappop(self.events)
+            handler(now_s, *args)
+            self.check(now_s)
+
+    def check(self, now_s):
+        """Whoever may act as reader holds a key in the store."""
+        listed = self.store.list(readers.reader_prefix(*ZONE), now_s)
+        records = readers.decode_readers(listed).values()
+        acting = [role for role in self.roles if role.is_reader(now_s)]
+        assert len(acting) <= readers.READERS_PER_ZONE
+        for role in acting:
+            assert ReaderRecord(role._name, role.lease_id) in records
+
+    def step(self, now_s, role):
+        if self.rng.random() < 0.05:
+            # The process is paused, then resumed.
+            self.at(now_s + self.rng.uniform(0, 40), self.step, role)
+            return
+        if self.rng.random() < 0.01:
+            self.outage_until_s = now_s + self.rng.uniform(0, 60)
+        step = role.next_step(now_s)
+        if isinstance(step, Sleep):
+            self.at(step.until_s, self.step, role)
+            return
+        travel_s = self.rng.choice([0.001, 0.001, 0.5, 5, 15])
+        self.at(now_s + travel_s, self.execute, role, step, now_s)
+
+    def execute(self, now_s, role, step, sent_s):
+        outcome = self.call(role, step, now_s)
+        back_s = now_s + self.rng.choice([0.001, 0.001, 0.5, 5, 15])
+        if self.rng.random() < 0.1:
+            outcome = LOST
+        self.at(back_s, self.answer, role, step, sent_s, outcome)
+
+    def call(self, role, step, now_s):
+        if now_s < self.outage_until_s:
+            return DOWN
+        try:
+            match step:
+                case ListReaders():
+                    prefix = readers.reader_prefix(*ZONE)
+                    listed = self.store.list(prefix, now_s)
+                    return readers.decode_readers(listed)
+                case RequestLease(ttl_s=ttl_s):
+                    return self.store.grant_lease(ttl_s, now_s)
+                case RenewLease(lease_id=lease_id):
+                    return self.store.keep_alive(lease_id, now_s)
+            key = readers.reader_key(*ZONE, step.slot)
+            value = readers.encode_reader(step.record)
+            self.store.compare_and_swap(
+                key, value, 0, step.record.lease_id, now_s
+            )
+            self.handovers += 1
+        except StoreError as exc:
+            return exc
+
+    def answer(self, now_s, role, step, sent_s, outcome):
+        if isinstance(outcome, StoreError):
+            role.on_failure(step, outcome, now_s)
+        elif isinstance(step, ListReaders):
+            role.on_listed(outcome, now_s)
+        elif isinstance(step, RequestLease):
+            role.on_lease(outcome, sent_s, now_s)
+        elif isinstance(step, ClaimSlot):
+            role.on_claimed(now_s)
+        else:
+            role.on_renewed(sent_s, now_s)
+        self.at(now_s, self.step, role)
+
+
+@settings(deadline=None, max_examples=100)
+@given(st.integers(0, 2**32), st.integers(1, 6))
+def test_readers_hold_a_lease_at_all_times(seed, instances):
+    """Guards against a reader whose lease the store has ended."""
+    Simulation(seed, instances).run(600)
+
+
+def test_simulation_changes_readers():
+    """Guards against a simulation in which nothing happens."""
+    simulation = Simulation(1, 5)
+    simulation.run(3600)
+    assert simulation.handovers > 20
+
+
+def _extend_from_answer(self, sent_s, now_s):
+    self._extend(now_s)
+    self._failures = 0
+    self._due_s = now_s + readers.RENEW_INTERVAL_S
+
+
+def _is_reader_without_deadline(self, now_s):
+    return self._phase is readers._Phase.HOLDING
+
+
+@pytest.mark.parametrize(
+    ('owner', 'attribute', 'broken'),
+    [
+        (ReaderRole, 'on_renewed', _extend_from_answer),
+        (ReaderRole, 'is_reader', _is_reader_without_deadline),
+        (readers, 'LEASE_MARGIN_S', -5),
+    ],
+    ids=['from-answer', 'no-deadline', 'too-long'],
+)
+def test_lease_check_can_fail(monkeypatch, owner, attribute, broken):
+    """Guards against a check of the lease that never fires."""
+    monkeypatch.setattr(owner, attribute, broken)
+    with pytest.raises(AssertionError):
+        for seed in range(50):
+            Simulation(seed, 5).run(3600)
