--- a/siskinproxy/store/tests/test_client.py
+++ b/siskinproxy/store/tests/test_client.py
@@ -1,6 +1,5 @@
 import asyncio
 import contextlib
-import socket
 
 import pytest
 from grpclib.client import Channel
@@ -22,15 +21,10 @@
     StoreLimits,
     StoreServer,
 )
+from siskinproxy.standins.tests.ports import free_port
 from siskinproxy.store import ABSENT, GrpcKeyValueClient, KeyValue
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 @contextlib.asynccontextmanager
 async def served(limits=None, token='', call_timeout_s=2.0, server_token=''):
     port = free_port()
