--- a/siskinproxy/store/client.py
+++ b/siskinproxy/store/client.py
@@ -40,6 +40,10 @@
 #: Time that a watch may exceed its own timeout before it counts as failed.
 WATCH_MARGIN_S: Final = 2.0
 
+#: Timeouts in a row after which the client connects anew. After a network
+#: partition TCP may need minutes to resume an established connection.
+MAX_TIMEOUTS: Final = 3
+
 _TOKEN_METADATA: Final = 'token'
 
 #: Failures of the connection. ``ProtocolError`` and ``H2Error`` occur when the
@@ -228,6 +232,7 @@
         self._call_timeout_s = call_timeout_s
         self._channel: Channel | None = None
         self._stub: KeyValueStoreStub | None = None
+        self._timeouts = 0
 
     async def start(self) -> None:
         """Prepare the channel; it connects with the first call."""
@@ -371,7 +376,21 @@
             timeout_s or self._call_timeout_s,
             self._token,
         )
-        return await _translate_errors(kind, writes, exchange)
+        try:
+            response = await _translate_errors(kind, writes, exchange)
+        except StoreError as exc:
+            self._count_timeout(exc)
+            raise
+        self._timeouts = 0
+        return response
+
+    def _count_timeout(self, exc: StoreError) -> None:
+        if not isinstance(exc.__cause__, asyncio.TimeoutError):
+            return
+        self._timeouts += 1
+        if self._timeouts >= MAX_TIMEOUTS and self._channel is not None:
+            self._timeouts = 0
+            self._channel.close()
 
 
 class _Exchange:
--- a/siskinproxy/store/tests/test_client.py
+++ b/siskinproxy/store/tests/test_client.py
@@ -210,3 +210,61 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+class FreezingProxy:
+    """Forwards connections; frozen ones stay open and carry nothing."""
+
+    def __init__(self, port, store_port):
+        self.port = port
+        self.store_port = store_port
+        self.frozen = set()
+        self.open = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.forward, '127.0.0.1', self.port
+        )
+
+    def freeze(self):
+        self.frozen |= self.open
+
+    async def close(self):
+        self.server.close()
+        for writer in self.open:
+            writer.close()
+
+    async def forward(self, reader, writer):
+        there = await asyncio.open_connection('127.0.0.1', self.store_port)
+        self.open |= {writer, there[1]}
+        await asyncio.gather(
+            self.pump(reader, there[1]), self.pump(there[0], writer)
+        )
+
+    async def pump(self, reader, writer):
+        while chunk := await reader.read(65536):
+            if writer not in self.frozen:
+                writer.write(chunk)
+
+
+def test_client_connects_anew_after_a_partition():
+    """Guards against a client that waits for a connection that is gone."""
+
+    async def scenario():
+        async with served() as (server, _client):
+            proxy = FreezingProxy(free_port(), server._port)
+            await proxy.start()
+            client = GrpcKeyValueClient(
+                '127.0.0.1', proxy.port, call_timeout_s=0.2
+            )
+            await client.start()
+            await client.compare_and_swap('k', b'1', 0)
+            proxy.freeze()
+            for _attempt in range(3):
+                with pytest.raises(StoreOutcomeUnknownError):
+                    await client.compare_and_swap('k', b'2', 1)
+            assert (await client.get('k')).value == b'1'
+            await client.close()
+            await proxy.close()
+
+    asyncio.run(scenario())
