Free addresses only after their flows are revoked everywhere

An address could be declared for another service by the same change that revoked its flows, while instances on the earlier generation still delivered them.

--- a/siskinproxy/balancer/routes.py
+++ b/siskinproxy/balancer/routes.py
@@ -160,6 +160,10 @@
         self, retired: RetiredTarget, earlier: dict[bytes, Route]
     ) -> None:
         """Keep the routes of a removed target for its established flows."""
+        if retired.released_unix_s:
+            # The entry only reserves the addresses: another service may use
+            # them while this configuration is still in effect elsewhere.
+            return
         for port in retired.ports:
             packed = pack_endpoint(Endpoint(retired.target.address, port))
             if packed in self.by_target:
--- a/siskinproxy/balancer/settings.py
+++ b/siskinproxy/balancer/settings.py
@@ -25,6 +25,7 @@
 
 __all__ = (
     'AdminSettings',
+    'Conflict',
     'ControlSettings',
     'Identity',
     'InstanceSettings',
@@ -247,7 +248,8 @@
     address_reuse_delay_s: Annotated[
         int,
         _meta(
-            'time before a removed target address may serve another service',
+            'time for which flows to a removed target stay allowed and its '
+            'address with its service; at least flow_idle_s',
             's',
             ge=0,
             le=604_800,
@@ -255,6 +257,24 @@
     ] = ADDRESS_REUSE_DELAY_S
 
 
+class Conflict(NamedTuple):
+    """Two keys whose values do not fit together.
+
+    Parameters
+    ----------
+    key : str
+        Dotted key that has to be changed.
+    expected : str
+        What the value has to be.
+    found : str
+        What the value is.
+    """
+
+    key: str
+    expected: str
+    found: str
+
+
 class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings file of an instance, read by both of its processes."""
 
@@ -265,6 +285,26 @@
     admin: AdminSettings = msgspec.field(default_factory=AdminSettings)
     limits: Limits = msgspec.field(default_factory=Limits)
 
+    def find_conflicts(self) -> Iterator[Conflict]:
+        """Yield the rules between keys that the settings break.
+
+        Yields
+        ------
+        Conflict
+            Key with expected and found value.
+        """
+        if self.admin.port and not self.admin.token:
+            expected = 'non-empty text, since admin.port is set'
+            yield Conflict('admin.token', expected, 'nothing')
+        delay_s = self.limits.address_reuse_delay_s
+        idle_s = self.limits.flow_idle_s
+        if delay_s < idle_s:
+            yield Conflict(
+                'limits.address_reuse_delay_s',
+                f'at least {idle_s:g} s, the value of limits.flow_idle_s',
+                str(delay_s),
+            )
+
 
 class SettingsField(NamedTuple):
     """Key of a settings struct with its metadata.
@@ -377,9 +417,15 @@
     ------
     SettingsError
         If the file cannot be read, or a key is unknown, missing, of the
-        wrong type, out of bounds or no IPv4 address.
+        wrong type, out of bounds or no IPv4 address, or two values do not
+        fit together.
     """
-    return _convert(path, '', _load(path), settings)
+    found = _convert(path, '', _load(path), settings)
+    if isinstance(found, InstanceSettings):
+        conflict = next(found.find_conflicts(), None)
+        if conflict is not None:
+            raise SettingsError(path, *conflict)
+    return found
 
 
 def run_or_exit(
--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -16,6 +16,8 @@
     'InvariantViolation',
     'LeaseLostError',
     'LinkFormatError',
+    'ListenerReuseError',
+    'RegionMismatchError',
     'SectionDigestError',
     'SegmentFormatError',
     'SettingsError',
@@ -263,6 +265,23 @@
         self.bounds = bounds
 
 
+class RegionMismatchError(ConfigurationError):
+    """A configuration is of another region than the one it replaces.
+
+    Parameters
+    ----------
+    expected : str
+        Region of the configuration that is in effect.
+    found : str
+        Region of the new configuration.
+    """
+
+    def __init__(self, expected: str, found: str) -> None:
+        super().__init__(f'expected={expected} found={found}')
+        self.expected = expected
+        self.found = found
+
+
 class AddressReuseError(ConfigurationError):
     """An address is declared for another service too early.
 
@@ -276,6 +295,10 @@
         Service whose flows may still use the address.
     remaining_s : int
         Time until the address may be declared, in seconds.
+    is_released : bool
+        False if a change without the new use has to be accepted first, since
+        the flows of the previous service are still allowed. The time counts
+        from that change then.
     """
 
     def __init__(
@@ -284,15 +307,59 @@
         service: str,
         previous_service: str,
         remaining_s: int,
+        is_released: bool = False,
     ) -> None:
         super().__init__(
             f'address={address} service={service} '
-            f'previous_service={previous_service} remaining_s={remaining_s}',
+            f'previous_service={previous_service} remaining_s={remaining_s} '
+            f'released={str(is_released).lower()}',
         )
         self.address = address
         self.service = service
         self.previous_service = previous_service
         self.remaining_s = remaining_s
+        self.is_released = is_released
+
+
+class ListenerReuseError(ConfigurationError):
+    """A listener moves to another service too early.
+
+    Parameters
+    ----------
+    address : str
+        Service address.
+    port : int
+        Port of the service address.
+    service : str
+        Service that declares the listener now.
+    previous_service : str
+        Service whose flows may still use the listener.
+    remaining_s : int
+        Time until the listener may be declared, in seconds.
+    is_released : bool
+        See `AddressReuseError`.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        service: str,
+        previous_service: str,
+        remaining_s: int,
+        is_released: bool = False,
+    ) -> None:
+        super().__init__(
+            f'address={address} port={port} service={service} '
+            f'previous_service={previous_service} remaining_s={remaining_s} '
+            f'released={str(is_released).lower()}',
+        )
+        self.address = address
+        self.port = port
+        self.service = service
+        self.previous_service = previous_service
+        self.remaining_s = remaining_s
+        self.is_released = is_released
 
 
 class SegmentFormatError(SiskinproxyError):
--- a/siskinproxy/operators/__init__.py
+++ b/siskinproxy/operators/__init__.py
@@ -12,15 +12,23 @@
 from siskinproxy.operators.differences import (
     describe,
     find_differences,
-    retire,
     with_target_draining,
     with_zone_in_service,
 )
+from siskinproxy.operators.operational_state import (
+    KeptTarget,
+    KeptZone,
+    describe_kept,
+    keep_operational_state,
+)
+from siskinproxy.operators.retirement import retire
 from siskinproxy.operators.validation import raise_if_invalid, validate
 
 __all__ = (
     'Configuration',
     'ConfigurationBuilder',
+    'KeptTarget',
+    'KeptZone',
     'Listener',
     'RetiredTarget',
     'Service',
@@ -28,7 +36,9 @@
     'Target',
     'Zone',
     'describe',
+    'describe_kept',
     'find_differences',
+    'keep_operational_state',
     'raise_if_invalid',
     'retire',
     'validate',
--- a/siskinproxy/operators/configuration.py
+++ b/siskinproxy/operators/configuration.py
@@ -27,10 +27,14 @@
         Unique name.
     in_service : bool
         False after operators took the zone out of service.
+    out_unix_s : int
+        Time at which the zone was taken out of service, in seconds since the
+        Unix epoch; 0 while it is in service. Set by `retire`.
     """
 
     name: str
     in_service: bool = True
+    out_unix_s: int = 0
 
 
 class Listener(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -106,7 +110,11 @@
 
 
 class RetiredTarget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Target that was removed; its established flows stay allowed.
+    """Target that lost its listeners; its established flows stay allowed.
+
+    The flows of the target are revoked by the first change after the delay
+    for the reuse of addresses, or by the change that takes its zone out of
+    service. The entry then reserves the addresses for `REUSE_MARGIN_S`.
 
     Parameters
     ----------
@@ -115,11 +123,15 @@
     target : Target
         The target as it was declared last.
     ports : tuple of int
-        Target ports of the service's listeners at that time.
+        Target ports that lost their listener or their target.
     retired_generation : int
         First generation without the target.
     retired_unix_s : int
         Time of the removal in seconds since the Unix epoch.
+    released_unix_s : int
+        Time of the change that revoked the flows; 0 while they are allowed.
+    listeners : tuple of Listener
+        Listeners whose flows to the target may still exist.
     """
 
     service: str
@@ -127,6 +139,8 @@
     ports: tuple[int, ...]
     retired_generation: int
     retired_unix_s: int
+    released_unix_s: int = 0
+    listeners: tuple[Listener, ...] = ()
 
 
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/siskinproxy/operators/differences.py
+++ b/siskinproxy/operators/differences.py
@@ -1,4 +1,4 @@
-"""Differences between configurations, retirement and small changes."""
+"""Differences between configurations, and changes of one zone or target."""
 
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
@@ -11,12 +11,10 @@
 from siskinproxy.operators.configuration import (
     Configuration,
     Listener,
-    RetiredTarget,
     Service,
     Target,
     Zone,
 )
-from siskinproxy.operators.validation import ADDRESS_REUSE_DELAY_S
 
 __all__ = (
     'Difference',
@@ -34,7 +32,6 @@
     'ZoneRemoved',
     'describe',
     'find_differences',
-    'retire',
     'with_target_draining',
     'with_zone_in_service',
 )
@@ -278,59 +275,6 @@
     )
 
 
-def retire(
-    previous: Configuration,
-    new: Configuration,
-    generation: int,
-    now_unix_s: int,
-    address_reuse_delay_s: int = ADDRESS_REUSE_DELAY_S,
-) -> Configuration:
-    """Record the targets and target ports that a change removes.
-
-    A target that leaves its service, or gets another address, is recorded
-    with all its ports; a target that stays is recorded with the ports that
-    lost their listener. Entries of `previous` are kept until the delay has
-    passed, their zone was out of service in `previous`, or the address and
-    port are declared again.
-
-    Parameters
-    ----------
-    previous : Configuration
-        Configuration that is in effect.
-    new : Configuration
-        Validated configuration that replaces it; its own `retired` is
-        ignored.
-    generation : int
-        Generation of `new`.
-    now_unix_s : int
-        Time of the change in seconds since the Unix epoch.
-    address_reuse_delay_s : int
-        Time for which an entry is kept, in seconds.
-
-    Returns
-    -------
-    Configuration
-        `new` with `retired` filled.
-    """
-    excluded = {zone.name for zone in previous.zones if not zone.in_service}
-    declared = _declared_endpoints(new)
-    removed = _removed(previous, generation, now_unix_s)
-    kept: list[RetiredTarget] = []
-    for entry in (*previous.retired, *removed):
-        elapsed_s = now_unix_s - entry.retired_unix_s
-        is_expired = elapsed_s >= address_reuse_delay_s
-        if is_expired or entry.target.zone in excluded:
-            continue
-        ports = tuple(
-            port
-            for port in entry.ports
-            if (entry.target.address, port) not in declared
-        )
-        if ports:
-            kept.append(msgspec.structs.replace(entry, ports=ports))
-    return msgspec.structs.replace(new, retired=tuple(kept))
-
-
 def with_zone_in_service(
     cfg: Configuration,
     zone: str,
@@ -416,35 +360,6 @@
     return msgspec.structs.replace(service, targets=targets)
 
 
-def _removed(
-    previous: Configuration,
-    generation: int,
-    now_unix_s: int,
-) -> Iterator[RetiredTarget]:
-    """Yield an entry for each target; the caller drops declared ports."""
-    for service in previous.services:
-        ports = tuple(each.target_port for each in service.listeners)
-        for target in service.targets:
-            yield RetiredTarget(
-                service.name,
-                target,
-                ports,
-                generation,
-                now_unix_s,
-            )
-
-
-def _declared_endpoints(cfg: Configuration) -> set[tuple[str, int]]:
-    endpoints: set[tuple[str, int]] = set()
-    for service in cfg.services:
-        for listener in service.listeners:
-            endpoints.update(
-                (target.address, listener.target_port)
-                for target in service.targets
-            )
-    return endpoints
-
-
 def _compare_zones(
     previous: Configuration,
     new: Configuration,
@@ -454,7 +369,7 @@
     for name, zone in before.items():
         if name not in after:
             yield ZoneRemoved(zone)
-        elif zone != after[name]:
+        elif zone.in_service != after[name].in_service:
             yield ZoneChanged(zone, after[name])
     for name, zone in after.items():
         if name not in before:
--- a/siskinproxy/operators/validation.py
+++ b/siskinproxy/operators/validation.py
@@ -8,13 +8,13 @@
 from typing import Final, NamedTuple
 
 from siskinproxy.errors import (
-    AddressReuseError,
     ConfigurationError,
     DuplicateListenerError,
     DuplicateNameError,
     EmptyServiceError,
     InvalidAddressError,
     InvalidNameError,
+    RegionMismatchError,
     SharedTargetPortError,
     UnknownZoneError,
     ValueRangeError,
@@ -25,6 +25,7 @@
     Service,
     Target,
 )
+from siskinproxy.operators.reuse import ADDRESS_REUSE_DELAY_S, check_reuse
 
 __all__ = (
     'ADDRESS_REUSE_DELAY_S',
@@ -35,10 +36,6 @@
     'validate',
 )
 
-#: Flows to a removed target stay allowed for this time. Until it has passed,
-#: the address may not serve another service.
-ADDRESS_REUSE_DELAY_S: Final = 3600
-
 #: Lowest and highest value by field name.
 Bounds = Mapping[str, tuple[float, float]]
 
@@ -74,23 +71,6 @@
     port: int
 
 
-class _Claim(NamedTuple):
-    """Hold of a service on an address, from the previous configuration."""
-
-    service: str
-    address: str
-    zone: str
-    ports: frozenset[int]
-    remaining_s: int
-
-
-class _Ports(NamedTuple):
-    """Target ports of a service on one address, now and before."""
-
-    declared: frozenset[int]
-    before: frozenset[int]
-
-
 def is_host_address(text: str) -> bool:
     """Tell whether a text is the dotted IPv4 address of a host.
 
@@ -130,8 +110,8 @@
         Current time in seconds since the Unix epoch. With the default all
         retired targets count as recent.
     address_reuse_delay_s : int
-        Time for which a retired target's address stays with its service, in
-        seconds.
+        Time for which flows to a retired target stay allowed, in seconds; the
+        address stays with its service for `REUSE_MARGIN_S` longer.
 
     Returns
     -------
@@ -146,8 +126,11 @@
         *_check_endpoints(cfg),
     ]
     if previous is not None:
-        claims = _claims(previous, now_unix_s, address_reuse_delay_s)
-        found.extend(_check_reuse(cfg, previous, claims))
+        if previous.region != cfg.region:
+            found.append(RegionMismatchError(previous.region, cfg.region))
+        found.extend(
+            check_reuse(cfg, previous, now_unix_s, address_reuse_delay_s),
+        )
     return tuple(found)
 
 
@@ -263,85 +246,6 @@
             yield SharedTargetPortError(*endpoint, owners=tuple(uses))
 
 
-def _claims(
-    previous: Configuration,
-    now_unix_s: int,
-    address_reuse_delay_s: int,
-) -> Iterator[_Claim]:
-    for service, target in _targets(previous):
-        yield _Claim(
-            service.name,
-            target.address,
-            target.zone,
-            _target_ports(service),
-            address_reuse_delay_s,
-        )
-    for retired in previous.retired:
-        elapsed_s = now_unix_s - retired.retired_unix_s
-        yield _Claim(
-            retired.service,
-            retired.target.address,
-            retired.target.zone,
-            frozenset(retired.ports),
-            address_reuse_delay_s - max(elapsed_s, 0),
-        )
-
-
-def _check_reuse(
-    cfg: Configuration,
-    previous: Configuration,
-    claims: Iterable[_Claim],
-) -> Iterator[ConfigurationError]:
-    # A zone must be out of service in the configuration that is in effect:
-    # one taken out by this very change still receives packets.
-    excluded = {zone.name for zone in previous.zones if not zone.in_service}
-    by_address: dict[str, list[_Claim]] = defaultdict(list)
-    for claim in claims:
-        if claim.remaining_s > 0 and claim.zone not in excluded:
-            by_address[claim.address].append(claim)
-    kept = _held_ports(previous)
-    current = _held_ports(cfg)
-    for holder, ports in current.items():
-        name, address = holder
-        added = _Ports(ports, kept.get(holder, frozenset()))
-        blocking: dict[str, int] = {}
-        for held in by_address.get(address, ()):
-            if held.service != name and _is_blocked(held, added, current):
-                longest_s = blocking.get(held.service, 0)
-                blocking[held.service] = max(longest_s, held.remaining_s)
-        for other, remaining_s in blocking.items():
-            yield AddressReuseError(address, name, other, remaining_s)
-
-
-def _is_blocked(
-    claim: _Claim,
-    ports: _Ports,
-    current: Mapping[tuple[str, str], frozenset[int]],
-) -> bool:
-    """Tell whether a claim forbids a service the use of these ports.
-
-    Two services may share an address with different ports, as long as both
-    keep it. The ports of the claim are forbidden in any case.
-    """
-    if claim.ports & (ports.declared - ports.before):
-        return True
-    is_shared = (claim.service, claim.address) in current
-    return not ports.before and not is_shared
-
-
-def _held_ports(
-    cfg: Configuration,
-) -> dict[tuple[str, str], frozenset[int]]:
-    return {
-        (service.name, target.address): _target_ports(service)
-        for service, target in _targets(cfg)
-    }
-
-
-def _target_ports(service: Service) -> frozenset[int]:
-    return frozenset(listener.target_port for listener in service.listeners)
-
-
 def _targets(cfg: Configuration) -> Iterator[tuple[Service, Target]]:
     for service in cfg.services:
         for target in service.targets:
