--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -5,8 +5,14 @@
 __all__ = (
     'EXIT_SETTINGS',
     'AddressReuseError',
+    'AdminAccessError',
+    'AdminError',
+    'AdminOutcomeUnknownError',
+    'AdminRequestError',
+    'AdminUnreachableError',
     'BuilderError',
     'ConfigurationError',
+    'ConfigurationFormatError',
     'DuplicateListenerError',
     'DuplicateNameError',
     'EmptyServiceError',
@@ -17,7 +23,6 @@
     'LeaseLostError',
     'LinkFormatError',
     'ListenerReuseError',
-    'RegionMismatchError',
     'SectionDigestError',
     'SegmentFormatError',
     'SettingsError',
@@ -201,6 +206,53 @@
         self.target = target
 
 
+class ConfigurationFormatError(ConfigurationError):
+    """A text is not a configuration in JSON.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong, and where.
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(f'detail="{detail}"')
+        self.detail = detail
+
+
+class AdminError(SiskinproxyError):
+    """A call to the administration interface failed."""
+
+
+class AdminUnreachableError(AdminError):
+    """No endpoint could execute the call, which had no effect."""
+
+
+class AdminOutcomeUnknownError(AdminError):
+    """A change may or may not have been accepted.
+
+    Parameters
+    ----------
+    submission_id : str
+        Id under which the change may be repeated.
+    detail : str
+        Last failure.
+    """
+
+    def __init__(self, submission_id: str, detail: str) -> None:
+        super().__init__(f'submission={submission_id} detail="{detail}"')
+        self.submission_id = submission_id
+        self.detail = detail
+
+
+class AdminAccessError(AdminError):
+    """The endpoint rejected the token; the call had no effect."""
+
+
+class AdminRequestError(AdminError):
+    """The endpoint rejected an argument; the call had no effect."""
+
+
 class EmptyServiceError(ConfigurationError):
     """A service has no listeners or no targets.
 
@@ -267,23 +319,6 @@
         self.bounds = bounds
 
 
-class RegionMismatchError(ConfigurationError):
-    """A configuration is of another region than the one it replaces.
-
-    Parameters
-    ----------
-    expected : str
-        Region of the configuration that is in effect.
-    found : str
-        Region of the new configuration.
-    """
-
-    def __init__(self, expected: str, found: str) -> None:
-        super().__init__(f'expected={expected} found={found}')
-        self.expected = expected
-        self.found = found
-
-
 class AddressReuseError(ConfigurationError):
     """An address is declared for another service too early.
 
@@ -519,7 +554,7 @@
     Parameters
     ----------
     expected : str
-        Region that it was submitted to.
+        Region that it was submitted to, or of the configuration in effect.
     found : str
         Region that it names.
     """
--- /dev/null
+++ b/siskinproxy/operators/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the administration interface (see admin.proto)."""
--- a/siskinproxy/operators/tests/test_validation.py
+++ b/siskinproxy/operators/tests/test_validation.py
@@ -298,5 +298,5 @@
     """Guards against submitting the configuration of another region."""
     other = replace(samples.CONFIGURATION, region='lisboa')
     (error,) = validate(other, samples.CONFIGURATION)
-    assert isinstance(error, errors.RegionMismatchError)
+    assert isinstance(error, errors.WrongRegionError)
     assert (error.expected, error.found) == ('alfold', 'lisboa')
--- a/siskinproxy/operators/validation.py
+++ b/siskinproxy/operators/validation.py
@@ -14,10 +14,10 @@
     EmptyServiceError,
     InvalidAddressError,
     InvalidNameError,
-    RegionMismatchError,
     SharedTargetPortError,
     UnknownZoneError,
     ValueRangeError,
+    WrongRegionError,
 )
 from siskinproxy.operators.configuration import (
     Configuration,
@@ -127,7 +127,7 @@
     ]
     if previous is not None:
         if previous.region != cfg.region:
-            found.append(RegionMismatchError(previous.region, cfg.region))
+            found.append(WrongRegionError(previous.region, cfg.region))
         found.extend(
             check_reuse(cfg, previous, now_unix_s, address_reuse_delay_s),
         )
--- a/siskinproxy/store/options.py
+++ b/siskinproxy/store/options.py
@@ -7,11 +7,8 @@
 
 from siskinproxy.errors import SiskinproxyError
 from siskinproxy.operators.configuration import Configuration
-from siskinproxy.operators.differences import (
-    describe,
-    find_differences,
-    retire,
-)
+from siskinproxy.operators.differences import describe, find_differences
+from siskinproxy.operators.retirement import retire
 from siskinproxy.operators.validation import validate
 
 __all__ = ('RetryPolicy', 'SubmitOptions', 'describe_change')
@@ -80,8 +77,8 @@
         errors.
     retire : callable
         ``retire(previous, cfg, generation, now_unix_s)`` returns the
-        validated configuration with its retired targets; not called for the
-        first configuration.
+        validated configuration with its retired targets; ``previous`` is
+        None for the first configuration.
     summarize : callable
         ``summarize(previous, cfg)`` returns the summary for the audit trail.
     known_sections : mapping of bytes to bytes
--- a/siskinproxy/store/submission.py
+++ b/siskinproxy/store/submission.py
@@ -227,8 +227,6 @@
 
     def _with_retired(self, previous: Configuration | None) -> Configuration:
         req = self._req
-        if previous is None:
-            return req.cfg
         cfg = self._options.retire(
             previous,
             req.cfg,
--- a/siskinproxy/store/tests/test_submission.py
+++ b/siskinproxy/store/tests/test_submission.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from siskinproxy import operators
 from siskinproxy.errors import (
     ConfigurationError,
     SectionDigestError,
@@ -353,7 +354,9 @@
         key = heads.section_key(REGION, head.digests[index])
         store.compare_and_swap(key, b'wrong', 0, 0, 0)
         await send(FakeKeyValueClient(store), cfg, 1, 'second')
-        await assert_applied_once(store, cfg, 1, 'second')
+        # Adds the time at which zone c was taken out of service.
+        expected = operators.retire(FIRST, cfg, 2, 1001)
+        await assert_applied_once(store, expected, 1, 'second')
 
     run_virtual(scenario())
 
