--- a/siskinproxy/balancer/control_engine.py
+++ b/siskinproxy/balancer/control_engine.py
@@ -35,6 +35,7 @@
 from siskinproxy.instances.probes import Address
 from siskinproxy.instances.reachability import REACHABLE_S
 from siskinproxy.operators.configuration import Configuration
+from siskinproxy.operators.progress import InstanceState
 
 __all__ = (
     'ConfigurationCodec',
@@ -146,6 +147,8 @@
         self.traffic: Counter[str] = Counter()
         self._codec = codec
         self._packet_connected = False
+        #: Generation in the last message of each instance.
+        self._stated: dict[str, int] = {}
         self._snapshot_wanted = False
         self._datagrams: list[Datagram] = []
         self._events: list[ControlEvent] = []
@@ -173,6 +176,7 @@
             self.traffic['malformed_messages'] += 1
             self._event('malformed_datagram', error=str(exc))
             return self._finish()
+        self._stated[message.header.record.name] = message.header.generation
         self._apply_membership(self.membership.on_message(message, now_s))
         if not self.membership.is_resuming(now_s):
             header = self.membership.header(now_s)
@@ -303,6 +307,29 @@
             current.provisional,
         )
 
+    def instances(self) -> tuple[InstanceState, ...]:
+        """Return each known instance with the generation that it stated."""
+        own = self.membership.record
+        found = [
+            InstanceState(
+                own.name,
+                own.zone,
+                own.status,
+                self.configuration.generation,
+            ),
+        ]
+        for name, state in self.membership.states().items():
+            entry = self.membership.entry(name)
+            if entry is not None and name != own.name:
+                generation = self._stated.get(name, 0)
+                zone = entry.record.zone
+                found.append(InstanceState(name, zone, state, generation))
+        # Names of instances that were replaced long ago.
+        known = {instance.name for instance in found}
+        for name in self._stated.keys() - known:
+            self._stated.pop(name)
+        return tuple(found)
+
     def keepalive(self, now_s: float) -> Keepalive:
         """Return the message for the packet process between snapshots."""
         generation = self.configuration.generation
--- a/siskinproxy/balancer/control_process.py
+++ b/siskinproxy/balancer/control_process.py
@@ -29,6 +29,8 @@
 from siskinproxy.balancer.store_source import StoreSource
 from siskinproxy.errors import SettingsError
 from siskinproxy.instances.membership import TIMER_PERIOD_S
+from siskinproxy.operators.admin import AdminServer, AdminView
+from siskinproxy.operators.admin_setup import make_admin_server
 from siskinproxy.store.client import GrpcKeyValueClient
 
 __all__ = ('ControlProcess', 'main')
@@ -90,6 +92,7 @@
         self._stop_asked = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         self._store: GrpcKeyValueClient | None = None
+        self._admin: AdminServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._link = ControlLinkClient(
             cfg.packet.link_port,
@@ -116,6 +119,9 @@
         self._tasks.append(asyncio.create_task(self._run_timers()))
         if self._cfg.store.address:
             await self._start_store()
+        if self._cfg.admin.port:
+            self._admin = self._make_admin()
+            await self._admin.start()
         self._link.start()
         self._log.event(
             'control_process_started',
@@ -138,6 +144,8 @@
 
     async def close(self) -> None:
         """Say farewell and release the sockets."""
+        if self._admin is not None:
+            await self._admin.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -189,6 +197,21 @@
         """Handle a datagram from another instance."""
         self._perform(self.engine.on_datagram(payload, time.monotonic()))
 
+    def _make_admin(self) -> AdminServer:
+        instance = self._cfg.instance
+        view = AdminView(
+            instance.name,
+            instance.region,
+            self.engine.instances,
+            lambda: self.engine.configuration.in_force,
+        )
+        return make_admin_server(
+            self._cfg,
+            view,
+            lambda: self._store,
+            self._log,
+        )
+
     async def _start_store(self) -> None:
         settings = self._cfg.store
         self._store = GrpcKeyValueClient(
--- a/siskinproxy/balancer/settings.py
+++ b/siskinproxy/balancer/settings.py
@@ -24,6 +24,7 @@
 )
 
 __all__ = (
+    'ENDPOINT_FORM',
     'AdminSettings',
     'Conflict',
     'ControlSettings',
@@ -33,6 +34,7 @@
     'PacketSettings',
     'SettingsField',
     'StoreSettings',
+    'describe_key',
     'describe_type',
     'iterate_fields',
     'read_settings',
@@ -54,13 +56,14 @@
 
 _ADDRESS: Final = 'IPv4 address'
 _OPTIONAL_ADDRESS: Final = 'IPv4 address or empty'
-_ENDPOINT: Final = 'IPv4 address:port'
+#: Format of a list of endpoints.
+ENDPOINT_FORM: Final = 'IPv4 address:port'
 
 _MAX_PORT: Final = 65535
 _MAX_FLOWS: Final = 10_000_000
 
 
-def _meta(
+def describe_key(
     description: str,
     unit: str = '',
     *,
@@ -70,6 +73,30 @@
     form: str = '',
     secret: bool = False,
 ) -> msgspec.Meta:
+    """Return the metadata of a key.
+
+    Parameters
+    ----------
+    description : str
+        Meaning of the key.
+    unit : str
+        Unit of the value; empty for a plain number or text.
+    ge : float, optional
+        Lowest value.
+    le : float, optional
+        Highest value.
+    min_length : int, optional
+        Least number of characters.
+    form : str
+        Format of a text, such as ``ENDPOINT_FORM``; empty for any text.
+    secret : bool
+        Whether messages must not show the value.
+
+    Returns
+    -------
+    msgspec.Meta
+        Metadata for ``Annotated``.
+    """
     extra = {_UNIT: unit, _FORMAT: form, _SECRET: secret}
     return msgspec.Meta(
         ge=ge,
@@ -81,11 +108,11 @@
 
 
 def _port(description: str) -> msgspec.Meta:
-    return _meta(description, ge=1, le=_MAX_PORT)
+    return describe_key(description, ge=1, le=_MAX_PORT)
 
 
 def _optional_port(description: str) -> msgspec.Meta:
-    return _meta(f'{description}; 0 = off', ge=0, le=_MAX_PORT)
+    return describe_key(f'{description}; 0 = off', ge=0, le=_MAX_PORT)
 
 
 class Identity(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,19 +120,21 @@
 
     name: Annotated[
         str,
-        _meta('unique name of the instance', min_length=1),
+        describe_key('unique name of the instance', min_length=1),
     ]
     region: Annotated[
         str,
-        _meta('region whose configuration is in effect', min_length=1),
+        describe_key('region whose configuration is in effect', min_length=1),
     ]
     zone: Annotated[
         str,
-        _meta('availability zone of the instance', min_length=1),
+        describe_key('availability zone of the instance', min_length=1),
     ]
     address: Annotated[
         str,
-        _meta('address of both processes of the instance', form=_ADDRESS),
+        describe_key(
+            'address of both processes of the instance', form=_ADDRESS
+        ),
     ]
 
 
@@ -122,7 +151,7 @@
     ] = 7401
     fabric_address: Annotated[
         str,
-        _meta('address of the fabric', form=_ADDRESS),
+        describe_key('address of the fabric', form=_ADDRESS),
     ]
     fabric_port: Annotated[
         int,
@@ -143,11 +172,13 @@
     ] = 7402
     seeds: Annotated[
         tuple[str, ...],
-        _meta('control endpoints of instances to join', form=_ENDPOINT),
+        describe_key(
+            'control endpoints of instances to join', form=ENDPOINT_FORM
+        ),
     ] = ()
     configuration_file: Annotated[
         str,
-        _meta('JSON configuration used without a store; empty = none'),
+        describe_key('JSON configuration used without a store; empty = none'),
     ] = ''
     metrics_port: Annotated[
         int,
@@ -160,12 +191,14 @@
 
     address: Annotated[
         str,
-        _meta('address of the store; empty = none', form=_OPTIONAL_ADDRESS),
+        describe_key(
+            'address of the store; empty = none', form=_OPTIONAL_ADDRESS
+        ),
     ] = ''
     port: Annotated[int, _port('TCP port of the store')] = 7500
     token: Annotated[
         str,
-        _meta('token sent with each call to the store', secret=True),
+        describe_key('token sent with each call to the store', secret=True),
     ] = ''
 
 
@@ -178,7 +211,7 @@
     ] = 0
     token: Annotated[
         str,
-        _meta('token that operators must present', secret=True),
+        describe_key('token that operators must present', secret=True),
     ] = ''
 
 
@@ -187,15 +220,17 @@
 
     learned_flows: Annotated[
         int,
-        _meta('learned flow entries kept', 'flows', ge=1, le=_MAX_FLOWS),
+        describe_key('learned flow entries kept', 'flows', ge=1, le=_MAX_FLOWS),
     ] = 200_000
     home_flows: Annotated[
         int,
-        _meta('flow entries kept as a home', 'flows', ge=1, le=_MAX_FLOWS),
+        describe_key(
+            'flow entries kept as a home', 'flows', ge=1, le=_MAX_FLOWS
+        ),
     ] = 1_500_000
     copy_bytes_per_s: Annotated[
         int,
-        _meta(
+        describe_key(
             'rate at which entries are copied to other homes',
             'bytes/s',
             ge=20,
@@ -204,11 +239,11 @@
     ] = 8000
     drain_limit_s: Annotated[
         float,
-        _meta('time that a planned stop may take', 's', ge=0, le=3600),
+        describe_key('time that a planned stop may take', 's', ge=0, le=3600),
     ] = 300.0
     sight_s: Annotated[
         float,
-        _meta(
+        describe_key(
             'time after which a zone that was not heard from gets no packets',
             's',
             ge=0.1,
@@ -219,7 +254,7 @@
     # caller can reuse its port.
     learned_s: Annotated[
         float,
-        _meta(
+        describe_key(
             'time after which a learned entry without responses expires',
             's',
             ge=0.1,
@@ -230,7 +265,7 @@
     # more than the customary TCP keep-alive interval of 2 hours.
     flow_idle_s: Annotated[
         float,
-        _meta(
+        describe_key(
             'time after which an idle flow entry expires',
             's',
             ge=1,
@@ -239,15 +274,17 @@
     ] = 7440.0
     takeover_s: Annotated[
         float,
-        _meta('time for which a new owner halves limits', 's', ge=0, le=60),
+        describe_key(
+            'time for which a new owner halves limits', 's', ge=0, le=60
+        ),
     ] = 2.0
     view_retention_s: Annotated[
         float,
-        _meta('least time for which a view is kept', 's', ge=1, le=3600),
+        describe_key('least time for which a view is kept', 's', ge=1, le=3600),
     ] = 30.0
     address_reuse_delay_s: Annotated[
         int,
-        _meta(
+        describe_key(
             'time for which flows to a removed target stay allowed and its '
             'address with its service; at least flow_idle_s',
             's',
@@ -538,7 +575,7 @@
         return is_host_address(value)
     if form == _OPTIONAL_ADDRESS:
         return not value or is_host_address(value)
-    if form == _ENDPOINT:
+    if form == ENDPOINT_FORM:
         return all(_is_endpoint(each) for each in value)
     return True
 
--- a/siskinproxy/operators/admin.py
+++ b/siskinproxy/operators/admin.py
@@ -48,7 +48,7 @@
 #: Longest time that a watch lasts.
 MAX_WATCH_S: Final = 600.0
 
-_TOKEN_METADATA: Final = 'token'
+_TOKEN_METADATA: Final = 'token-bin'
 
 # Names and ids appear in log lines and in the audit trail.
 _LABEL: Final = re.compile(r'\w[\w.@-]{0,62}')
@@ -162,10 +162,9 @@
 
     def _authenticate(self, stream: Stream[Any, Any]) -> None:
         """Reject a call without the token before its content is read."""
-        found = (stream.metadata or {}).get(_TOKEN_METADATA, '')
-        offered = found if isinstance(found, bytes) else found.encode()
+        offered = (stream.metadata or {}).get(_TOKEN_METADATA, b'')
         # An empty token would let every caller in.
-        if self._token and hmac.compare_digest(offered, self._token):
+        if self._token and hmac.compare_digest(bytes(offered), self._token):
             return
         peer = stream.peer.addr() if stream.peer else None
         self._log.warning(
@@ -304,22 +303,27 @@
     host : str
         Numeric address to listen on.
     port : int
-        TCP port; 0 selects a free one.
+        TCP port.
     """
 
     def __init__(self, service: AdminService, host: str, port: int) -> None:
-        self._server = Server([service])
+        self._service = service
         self._host = host
         self._port = port
+        self._server: Server | None = None
 
     async def start(self) -> None:
         """Listen on the port."""
+        # The server belongs to the event loop that runs when it is created.
+        self._server = Server([self._service])
         await self._server.start(self._host, self._port)
 
     async def close(self) -> None:
         """Close the port and end the calls in progress."""
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        self._server = None
 
 
 async def _receive(stream: Stream[Any, Any]) -> Any:
--- /dev/null
+++ b/siskinproxy/operators/admin_client.py
@@ -0,0 +1,296 @@
+"""Client of the administration interface that tries several endpoints."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, Final
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from h2.exceptions import H2Error
+
+from siskinproxy.errors import (
+    AdminAccessError,
+    AdminError,
+    AdminOutcomeUnknownError,
+    AdminRequestError,
+    AdminUnreachableError,
+)
+from siskinproxy.operators.proto import admin_pb2
+from siskinproxy.operators.proto.admin_grpc import AdministrationStub
+
+__all__ = ('AdminClient',)
+
+#: Longer than the time for which an instance retries calls to the store.
+CALL_TIMEOUT_S: Final = 20.0
+
+#: Time by which a watch may exceed its own timeout.
+_WATCH_MARGIN_S: Final = 5.0
+
+_CONNECTION_ERRORS: Final = (
+    OSError,
+    asyncio.TimeoutError,
+    StreamTerminatedError,
+    ProtocolError,
+    H2Error,
+)
+#: A binary value, since the token may have characters other than ASCII.
+_TOKEN_METADATA: Final = 'token-bin'
+
+_Response = admin_pb2.ChangeResponse
+
+#: A response that excludes that an earlier attempt is or will be accepted.
+#: A refusal does not: the earlier attempt may still be on its way to the store.
+_SETTLED: Final = frozenset(
+    (_Response.ACCEPTED, _Response.UNCHANGED, _Response.CONFLICT),
+)
+
+
+class _SentError(AdminError):
+    """The endpoint may have executed the call."""
+
+
+class AdminClient:
+    """Client of the administration interface of a region.
+
+    Parameters
+    ----------
+    endpoints : sequence of (str, int)
+        Address and port of control processes, in the order of preference.
+    token : str
+        Token of the settings of the instances.
+    call_timeout_s : float
+        Time limit of each call to one endpoint.
+    """
+
+    def __init__(
+        self,
+        endpoints: Sequence[tuple[str, int]],
+        token: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._endpoints = tuple(endpoints)
+        self._metadata = {_TOKEN_METADATA: token.encode()} if token else {}
+        self._call_timeout_s = call_timeout_s
+
+    async def read(self, method: str, req: Any) -> Any:
+        """Call a method that changes nothing.
+
+        Parameters
+        ----------
+        method : str
+            Name of the method, such as ``Status``.
+        req : message
+            Request.
+
+        Returns
+        -------
+        message
+            Response of the first endpoint that executed the call.
+
+        Raises
+        ------
+        AdminUnreachableError
+            No endpoint executed the call.
+        AdminAccessError
+            The token is wrong.
+        AdminRequestError
+            An argument is malformed.
+        """
+        failures: list[str] = []
+        remaining = list(self._endpoints)
+        while remaining:
+            endpoint = remaining.pop(0)
+            try:
+                return await self._call(endpoint, method, req)
+            except (_SentError, AdminUnreachableError) as exc:
+                failures.append(_failure(endpoint, exc))
+        raise AdminUnreachableError(_joined(failures))
+
+    async def change(self, method: str, req: Any) -> admin_pb2.ChangeResponse:
+        """Make a change, and find out its outcome.
+
+        A call whose outcome is unknown is repeated at the next endpoint with
+        the same submission id, at least once.
+
+        Parameters
+        ----------
+        method : {'Submit', 'SetZone', 'DrainTarget'}
+            Name of the method.
+        req : message
+            Request with its submission.
+
+        Returns
+        -------
+        ChangeResponse
+            Outcome other than ``UNKNOWN``.
+
+        Raises
+        ------
+        AdminOutcomeUnknownError
+            The change may or may not have been accepted.
+        AdminUnreachableError
+            No endpoint executed the call, which had no effect.
+        AdminAccessError
+            The token is wrong.
+        AdminRequestError
+            An argument is malformed.
+        """
+        failures: list[str] = []
+        is_open = False
+        # A single endpoint gets the repetition too.
+        remaining = list(self._endpoints * 2)
+        while remaining:
+            endpoint = remaining.pop(0)
+            if len(failures) >= len(self._endpoints) and not is_open:
+                break
+            try:
+                response = await self._call(endpoint, method, req)
+            except AdminError as exc:
+                if not is_open and not isinstance(exc, _RETRIED):
+                    raise
+                is_open = is_open or isinstance(exc, _SentError)
+                failures.append(_failure(endpoint, exc))
+                continue
+            if response.outcome in _SETTLED:
+                return response
+            if response.outcome == _Response.REFUSED and not is_open:
+                return response
+            is_open = True
+            failures.append(f'{endpoint[0]}:{endpoint[1]} {response.reason}')
+        if is_open:
+            raise AdminOutcomeUnknownError(req.submission.id, _joined(failures))
+        raise AdminUnreachableError(_joined(failures))
+
+    async def watch(
+        self,
+        req: admin_pb2.WatchRequest,
+    ) -> AsyncIterator[admin_pb2.Progress]:
+        """Yield the progress of a generation until the watch ends.
+
+        Parameters
+        ----------
+        req : WatchRequest
+            Generation and timeout.
+
+        Yields
+        ------
+        Progress
+            Each change of the progress.
+
+        Raises
+        ------
+        AdminUnreachableError
+            No endpoint executed the call to its end.
+        AdminAccessError
+            The token is wrong.
+        """
+        failures: list[str] = []
+        for endpoint in self._endpoints:
+            try:
+                async for progress in self._stream(endpoint, req):
+                    yield progress
+            except (_SentError, AdminUnreachableError) as exc:
+                failures.append(_failure(endpoint, exc))
+            else:
+                return
+        raise AdminUnreachableError(_joined(failures))
+
+    async def _stream(
+        self,
+        endpoint: tuple[str, int],
+        req: admin_pb2.WatchRequest,
+    ) -> AsyncIterator[admin_pb2.Progress]:
+        channel = Channel(*endpoint)
+        opened = AdministrationStub(channel).Watch.open(
+            timeout=req.timeout_s + _WATCH_MARGIN_S,
+            metadata=self._metadata,
+        )
+        try:
+            async with opened as stream:
+                await stream.send_message(req, end=True)
+                async for progress in stream:
+                    yield progress
+        except GRPCError as exc:
+            raise _status_error(exc) from exc
+        except _CONNECTION_ERRORS as exc:
+            raise _SentError(f'{type(exc).__name__}: {exc}') from exc
+        finally:
+            channel.close()
+
+    async def _call(
+        self,
+        endpoint: tuple[str, int],
+        method: str,
+        req: Any,
+    ) -> Any:
+        channel = Channel(*endpoint)
+        exchange = _Exchange(
+            getattr(AdministrationStub(channel), method),
+            self._call_timeout_s,
+            self._metadata,
+        )
+        try:
+            return await exchange.run(req)
+        except GRPCError as exc:
+            raise _status_error(exc) from exc
+        except _CONNECTION_ERRORS as exc:
+            detail = f'{type(exc).__name__}: {exc}'
+            kind = _SentError if exchange.sent else AdminUnreachableError
+            raise kind(detail) from exc
+        finally:
+            channel.close()
+
+
+#: Failures after which a change is tried at the next endpoint.
+_RETRIED: Final = (_SentError, AdminUnreachableError)
+
+
+class _Exchange:
+    """One unary call that records whether its request was sent."""
+
+    def __init__(
+        self,
+        method: Any,
+        timeout_s: float,
+        metadata: dict[str, bytes],
+    ) -> None:
+        self.sent = False
+        self._method = method
+        self._timeout_s = timeout_s
+        self._metadata = metadata
+
+    async def run(self, req: Any) -> Any:
+        opened = self._method.open(
+            timeout=self._timeout_s,
+            metadata=self._metadata,
+        )
+        async with opened as stream:
+            # Connects and sends the headers. The endpoint executes nothing
+            # before it has the message.
+            await stream.send_request()
+            self.sent = True
+            await stream.send_message(req, end=True)
+            response = await stream.recv_message()
+        if response is None:
+            raise StreamTerminatedError('response without message')
+        return response
+
+
+def _status_error(exc: GRPCError) -> AdminError:
+    match exc.status:
+        case Status.UNAUTHENTICATED:
+            return AdminAccessError(exc.message)
+        case Status.INVALID_ARGUMENT:
+            return AdminRequestError(exc.message)
+        case Status.UNAVAILABLE:
+            return AdminUnreachableError(exc.message)
+    return _SentError(f'{exc.status.name}: {exc.message}')
+
+
+def _failure(endpoint: tuple[str, int], exc: AdminError) -> str:
+    return f'{endpoint[0]}:{endpoint[1]} {exc}'
+
+
+def _joined(failures: Sequence[str]) -> str:
+    return '; '.join(failures)
--- /dev/null
+++ b/siskinproxy/operators/admin_setup.py
@@ -0,0 +1,49 @@
+"""Assembly of the administration interface from the settings."""
+
+from collections.abc import Callable
+from functools import partial
+
+from siskinproxy.balancer.logs import EventLog
+from siskinproxy.balancer.settings import InstanceSettings
+from siskinproxy.operators.admin import AdminServer, AdminService, AdminView
+from siskinproxy.operators.changes import ChangeExecutor
+from siskinproxy.operators.retirement import retire
+from siskinproxy.operators.validation import validate
+from siskinproxy.store.client import KeyValueClient
+from siskinproxy.store.options import SubmitOptions
+
+__all__ = ('make_admin_server',)
+
+
+def make_admin_server(
+    cfg: InstanceSettings,
+    view: AdminView,
+    store: Callable[[], KeyValueClient | None],
+    log: EventLog,
+) -> AdminServer:
+    """Return the server of the administration interface, not yet started.
+
+    Parameters
+    ----------
+    cfg : InstanceSettings
+        Settings with a port and a token of the interface.
+    view : AdminView
+        What is shown of the control process.
+    store : callable
+        Returns the client of the store, None if there is none.
+    log : EventLog
+        Where changes and rejected calls are logged.
+
+    Returns
+    -------
+    AdminServer
+        Server with explicit ``start`` and ``close``.
+    """
+    delay_s = cfg.limits.address_reuse_delay_s
+    options = SubmitOptions(
+        validate=partial(validate, address_reuse_delay_s=delay_s),
+        retire=partial(retire, address_reuse_delay_s=delay_s),
+    )
+    executor = ChangeExecutor(cfg.instance.region, store, log, options)
+    service = AdminService(cfg.admin.token, view, executor, log)
+    return AdminServer(service, cfg.instance.address, cfg.admin.port)
