--- a/siskinproxy/balancer/control_engine.py
+++ b/siskinproxy/balancer/control_engine.py
@@ -27,6 +27,8 @@
 )
 from siskinproxy.instances.gossip import (
     UDP_OVERHEAD_BYTES,
+    Header,
+    Record,
     decode_message,
     encode_message,
 )
@@ -147,8 +149,8 @@
         self.traffic: Counter[str] = Counter()
         self._codec = codec
         self._packet_connected = False
-        #: Generation in the last message of each instance.
-        self._stated: dict[str, int] = {}
+        #: Incarnation and generation in the last message of each instance.
+        self._stated: dict[str, tuple[int, int]] = {}
         self._snapshot_wanted = False
         self._datagrams: list[Datagram] = []
         self._events: list[ControlEvent] = []
@@ -176,7 +178,7 @@
             self.traffic['malformed_messages'] += 1
             self._event('malformed_datagram', error=str(exc))
             return self._finish()
-        self._stated[message.header.record.name] = message.header.generation
+        self._note_generation(message.header)
         self._apply_membership(self.membership.on_message(message, now_s))
         if not self.membership.is_resuming(now_s):
             header = self.membership.header(now_s)
@@ -321,8 +323,8 @@
         for name, state in self.membership.states().items():
             entry = self.membership.entry(name)
             if entry is not None and name != own.name:
-                generation = self._stated.get(name, 0)
                 zone = entry.record.zone
+                generation = self._generation_of(entry.record)
                 found.append(InstanceState(name, zone, state, generation))
         # Names of instances that were replaced long ago.
         known = {instance.name for instance in found}
@@ -330,6 +332,18 @@
             self._stated.pop(name)
         return tuple(found)
 
+    def _note_generation(self, header: Header) -> None:
+        record = header.record
+        before = self._stated.get(record.name, (0, 0))
+        stated = (record.incarnation, header.generation)
+        # Messages may arrive in another order than they were sent.
+        self._stated[record.name] = max(before, stated)
+
+    def _generation_of(self, record: Record) -> int:
+        incarnation, generation = self._stated.get(record.name, (0, 0))
+        # A restarted instance has lost the configuration that it stated.
+        return generation if incarnation >= record.incarnation else 0
+
     def keepalive(self, now_s: float) -> Keepalive:
         """Return the message for the packet process between snapshots."""
         generation = self.configuration.generation
--- a/siskinproxy/operators/admin.py
+++ b/siskinproxy/operators/admin.py
@@ -27,6 +27,7 @@
     SubmitChange,
     ZoneChange,
     decode_configuration,
+    read_head,
 )
 from siskinproxy.operators.configuration import Configuration
 from siskinproxy.operators.differences import describe, find_differences
@@ -138,7 +139,7 @@
         """Report the progress of a generation."""
         self._authenticate(stream)
         req = await _receive(stream)
-        generation = req.generation or self._generation()
+        generation = req.generation or await self._latest_generation()
         loop = asyncio.get_running_loop()
         end_s = loop.time() + min(req.timeout_s, MAX_WATCH_S)
         sent = None
@@ -288,9 +289,15 @@
             entries=list(map(messages.audit_message, entries)),
         )
 
-    def _generation(self) -> int:
+    async def _latest_generation(self) -> int:
+        """Return the generation in the store, or in force if it is out."""
         in_force = self._view.in_force()
-        return in_force.generation if in_force is not None else 0
+        generation = in_force.generation if in_force is not None else 0
+        try:
+            found = await read_head(self._executor.client, self._view.region)
+        except StoreError:
+            return generation
+        return max(found.generation, generation)
 
 
 class AdminServer:
--- a/siskinproxy/operators/changes.py
+++ b/siskinproxy/operators/changes.py
@@ -53,6 +53,7 @@
     'Unchanged',
     'ZoneChange',
     'decode_configuration',
+    'read_head',
     'read_running',
 )
 
@@ -175,6 +176,29 @@
         raise ConfigurationFormatError(str(exc)) from exc
 
 
+async def read_head(client: KeyValueClient, region: str) -> Head:
+    """Read the head of a region from the store.
+
+    Parameters
+    ----------
+    client : KeyValueClient
+        Client of the store.
+    region : str
+        Region of the configuration.
+
+    Returns
+    -------
+    Head
+        Head; generation 0 without a configuration.
+
+    Raises
+    ------
+    StoreError
+        If the store cannot be read.
+    """
+    return decode_head(region, await client.get(head_key(region)))
+
+
 async def read_running(client: KeyValueClient, region: str) -> Running:
     """Read the configuration of a region from the store.
 
@@ -195,7 +219,7 @@
     StoreError
         If the store cannot be read.
     """
-    head = decode_head(region, await client.get(head_key(region)))
+    head = await read_head(client, region)
     if not head.generation:
         return Running(head, None)
     sections: dict[bytes, bytes] = {}
--- a/siskinproxy/operators/progress.py
+++ b/siskinproxy/operators/progress.py
@@ -41,7 +41,7 @@
     lagging : tuple of str
         Instances that have not.
     unreachable : tuple of str
-        Dead instances that have not stated it.
+        Dead instances, whatever they stated before.
     """
 
     generation: int
@@ -77,10 +77,11 @@
     lagging: list[str] = []
     unreachable: list[str] = []
     for instance in sorted(instances):
-        if instance.generation >= generation:
-            confirmed.append(instance.name)
-        elif instance.state == _DEAD:
+        if instance.state == _DEAD:
+            # It may have been replaced by a process without configuration.
             unreachable.append(instance.name)
+        elif instance.generation >= generation:
+            confirmed.append(instance.name)
         else:
             lagging.append(instance.name)
     return GenerationProgress(
--- a/siskinproxy/operators/tests/test_ctl.py
+++ b/siskinproxy/operators/tests/test_ctl.py
@@ -38,7 +38,7 @@
 }
 LOCAL_READS = {
     'status': (['status'], None),
-    'watch': (['watch'], None),
+    'watch': (['watch', '--generation=1'], None),
 }
 ALL = {**CHANGES, **READS_OF_STORE, **LOCAL_READS}
 
@@ -308,11 +308,23 @@
         '  lagging: b-1',
         '  unreachable: b-2',
     ]
-    region.instances = [admin_region.CONFIRMED, admin_region.DEAD]
+    stopped = admin_region.DEAD._replace(generation=1)
+    region.instances = [admin_region.CONFIRMED, stopped]
     assert tool('watch', '--generation=1') == 0
+    assert '  unreachable: b-2' in tool.out.splitlines()
     assert tool.out.splitlines()[-1] == 'generation 1 is in effect'
 
 
+def test_watch_waits_for_the_generation_in_the_store(started):
+    """Guards against watching the generation before the last change."""
+    assert started('zone-out', 'b') == 0
+    assert started('watch', '--timeout_s=0') == 5
+    assert started.out.startswith('generation 2: 0 of 1 instances')
+    started.region.store.faults.outage = True
+    assert started('watch', '--timeout_s=0') == 0
+    assert started.out.startswith('generation 1: 1 of 1 instances')
+
+
 def test_audit_names_who_when_and_what(started):
     """Guards against changes that cannot be attributed."""
     assert started('zone-out', 'b', '--id=change-1') == 0
