--- a/siskinproxy/instances/configuration_transfer.py
+++ b/siskinproxy/instances/configuration_transfer.py
@@ -37,10 +37,15 @@
 START_QUERY_S: Final = 1.0
 
 #: Control bytes a second, sent and received, up to which the transfer adds to
-#: the other messages, and their burst: at most 21.5 KB in any second. A change
-#: takes about 3.5 KB, so an instance can pass it on at once to one or two.
-CONTROL_RATE_BYTES_S: Final = 13_000
-CONTROL_BURST_BYTES: Final = 8_500
+#: the other messages, and their burst. A change takes about 3.5 KB, so an
+#: instance can pass it on at once to one or two.
+CONTROL_RATE_BYTES_S: Final = 9_000
+CONTROL_BURST_BYTES: Final = 6_500
+
+#: Share of the transfer while other messages use up that rate. Without it no
+#: configuration arrived during repeated partitions of 32 members.
+RESERVED_RATE_BYTES_S: Final = 4_500
+RESERVED_BURST_BYTES: Final = 2_700
 
 #: A chunk that has not arrived by then is requested from another peer.
 CHUNK_TIMEOUT_S: Final = 0.25
@@ -147,6 +152,12 @@
             CONTROL_BURST_BYTES,
             now_s,
         )
+        self._reserve = TokenBucket(
+            RESERVED_RATE_BYTES_S,
+            RESERVED_BURST_BYTES,
+            now_s,
+        )
+        self._request_bucket = self._budget
         self._generation = 0
         self._shelf = BlobShelf()
         self._offers: dict[str, _Offer] = {}
@@ -294,7 +305,7 @@
         end = message.offset + chunk_bytes(header)
         chunk = form.data[message.offset : end]
         cost_bytes = len(chunk) + _MESSAGE_BYTES * 2
-        if not self._budget.take(cost_bytes, now_s):
+        if not self._take(cost_bytes, now_s):
             self._budget.charge(_MESSAGE_BYTES * 2, now_s)
             return Send(address, BlobBusy(header, message.digest))
         answer = BlobChunk(
@@ -320,7 +331,10 @@
             return TransferStep()
         self._request = None
         # The chunk that the request reserved did not come.
-        self._budget.charge(_MESSAGE_BYTES - MAX_DATAGRAM_BYTES, now_s)
+        self._request_bucket.charge(
+            _MESSAGE_BYTES - MAX_DATAGRAM_BYTES,
+            now_s,
+        )
         if message.missing:
             self._avoid_until_s[peer] = now_s + UNRESPONSIVE_S
             return self._continue(header, now_s)
@@ -336,6 +350,7 @@
     ) -> TransferStep:
         peer = message.header.record.name
         if not self._answers(message.digest, peer, message.offset):
+            self._budget.charge(MAX_DATAGRAM_BYTES, now_s)
             return TransferStep()
         self._request = None
         self._backoff_s = FIRST_BACKOFF_S
@@ -424,7 +439,7 @@
         if peer is None:
             return TransferStep()
         cost_bytes = MAX_DATAGRAM_BYTES + _MESSAGE_BYTES
-        if not self._budget.take(cost_bytes, now_s):
+        if not self._take_for_request(cost_bytes, now_s):
             return TransferStep()
         partial = self._partial.get(digest)
         offset = len(partial.data) if partial else 0
@@ -434,6 +449,19 @@
         message = BlobRequest(header, digest, offset, base)
         return TransferStep((Send(self._offers[peer].address, message),))
 
+    def _take(self, cost_bytes: int, now_s: float) -> bool:
+        return any(
+            bucket.take(cost_bytes, now_s)
+            for bucket in (self._budget, self._reserve)
+        )
+
+    def _take_for_request(self, cost_bytes: int, now_s: float) -> bool:
+        for bucket in (self._budget, self._reserve):
+            if bucket.take(cost_bytes, now_s):
+                self._request_bucket = bucket
+                return True
+        return False
+
     def _select_peer(self, target: _Offer, now_s: float) -> str | None:
         peers = [
             name
--- a/siskinproxy/instances/dissemination.py
+++ b/siskinproxy/instances/dissemination.py
@@ -43,10 +43,11 @@
         return True
 
     def charge(self, amount: float, now_s: float) -> None:
-        """Take `amount` tokens, even if that makes the number negative."""
+        """Take `amount` tokens, with a debt of one burst at most."""
         elapsed_s = max(now_s - self._updated_s, 0)
         filled = self._tokens + elapsed_s * self._rate
-        self._tokens = min(self._burst, filled) - amount
+        left = min(self._burst, filled) - amount
+        self._tokens = min(max(left, -self._burst), self._burst)
         self._updated_s = now_s
 
 
--- a/siskinproxy/instances/membership.py
+++ b/siskinproxy/instances/membership.py
@@ -18,7 +18,11 @@
 from msgspec.structs import replace
 
 from siskinproxy.balancer.snapshot import Member
-from siskinproxy.instances.dissemination import Dissemination, TokenBucket
+from siskinproxy.instances.dissemination import (
+    MAX_UPDATES,
+    Dissemination,
+    TokenBucket,
+)
 from siskinproxy.instances.gossip import (
     CONDITION_ALIVE,
     CONDITION_DEAD,
@@ -103,6 +107,16 @@
 #: Interval between two corrections of the same member.
 CORRECTION_PERIOD_S: Final = 0.2
 
+#: Updates a second in all messages and their burst. During a partition every
+#: message would carry the largest number of updates otherwise; 80 updates of
+#: 55 bytes are 4.4 KB/s.
+UPDATE_RATE: Final = 80.0
+UPDATE_BURST: Final = 80.0
+
+#: Corrections a second and their burst.
+CORRECTION_RATE: Final = 10.0
+CORRECTION_BURST: Final = 10.0
+
 #: Members on a page; more than about 20 rarely fit into a datagram.
 MAX_PAGE_UPDATES: Final = 32
 
@@ -168,6 +182,12 @@
         self._probes = PendingProbes()
         self._news = Dissemination()
         self._pushes = TokenBucket(PUSH_RATE, PUSH_BURST, now_s)
+        self._updates = TokenBucket(UPDATE_RATE, UPDATE_BURST, now_s)
+        self._corrections = TokenBucket(
+            CORRECTION_RATE,
+            CORRECTION_BURST,
+            now_s,
+        )
         self._generation = 0
         self._head_digest = b''
         self._last_s = now_s
@@ -453,8 +473,9 @@
         """Tell a sender what is believed about it, so that it can refute."""
         if now_s - entry.corrected_s < CORRECTION_PERIOD_S:
             return
-        entry.corrected_s = now_s
-        self._send_probe(record, now_s, (entry.update(now_s),))
+        if self._corrections.take(1, now_s):
+            entry.corrected_s = now_s
+            self._send_notice(record, entry, now_s)
 
     def _learn(self, update: Update, now_s: float, reason: str) -> None:
         if update.record.name == self._record.name:
@@ -512,7 +533,7 @@
     def _(self, message: PingRequest, now_s: float) -> None:
         asker = _address(message.header.record)
         probe = Probe(message.target, now_s, asker, message.sequence)
-        self._send_ping(probe, now_s, ())
+        self._send_ping(probe, self._header(now_s), ())
 
     @_handle.register
     def _(self, message: Ack, now_s: float) -> None:
@@ -570,37 +591,41 @@
             self._reconnect(now_s)
 
     def _send_entry_probe(self, entry: Entry | None, now_s: float) -> None:
-        if entry is not None:
-            self._send_probe(entry.record, now_s, ())
+        if entry is None:
+            return
+        header = self._header(now_s)
+        updates = self._select_updates(header, entry.record, now_s)
+        self._send_ping(Probe(entry.record, now_s), header, updates)
 
-    def _send_probe(
+    def _send_notice(
         self,
-        record: Record,
+        receiver: Record,
+        entry: Entry,
         now_s: float,
-        first: tuple[Update, ...],
     ) -> None:
-        self._send_ping(Probe(record, now_s), now_s, first)
+        """Probe a member with only the statement about itself.
+
+        During a partition most probes are of this kind; other updates would
+        multiply their size.
+        """
+        updates = (entry.update(now_s),)
+        header = self._header(now_s)
+        self._send_ping(Probe(receiver, now_s), header, updates)
 
     def _send_ping(
         self,
         probe: Probe,
-        now_s: float,
-        first: tuple[Update, ...],
+        header: Header,
+        updates: tuple[Update, ...],
     ) -> None:
-        sequence = self._probes.add(probe)
-        header = self._header(now_s)
-        updates = first
-        if probe.asker is None:
-            updates += self._select_updates(header, probe.record, now_s)
-            updates = fit_updates(header, updates)
-        ping = Ping(header, sequence, updates)
+        ping = Ping(header, self._probes.add(probe), updates)
         self._sends.append(Send(_address(probe.record), ping))
 
     def _reconnect(self, now_s: float) -> None:
         """Probe a dead member and a suggested address."""
         dead = self._table.dead()
         for absent in self._select_absent(dead):
-            self._send_probe(absent.record, now_s, (absent.update(now_s),))
+            self._send_notice(absent.record, absent, now_s)
         known = {_address(entry.record) for entry in self._table}
         known.add(_address(self._record))
         unknown = [
@@ -638,7 +663,7 @@
                 continue
             suspicion = Update(entry.record, CONDITION_SUSPECT)
             self._learn(suspicion, now_s, 'probe failed')
-            self._send_probe(entry.record, now_s, (suspicion,))
+            self._send_notice(entry.record, entry, now_s)
 
     def _declare_dead(self, now_s: float) -> None:
         for entry in self._table.overdue(now_s):
@@ -684,7 +709,9 @@
         receiver: Record,
         now_s: float,
     ) -> tuple[Update, ...]:
-        names = self._news.select(len(self._table), self._is_known)
+        names = []
+        if self._updates.take(min(len(self._news), MAX_UPDATES), now_s):
+            names = self._news.select(len(self._table), self._is_known)
         entries = [self._table.find(name) for name in names]
         updates = [entry.update(now_s) for entry in entries]
         about = self._table.find(receiver.name)
