--- a/siskinproxy/measure/membership_cost.py
+++ b/siskinproxy/measure/membership_cost.py
@@ -5,10 +5,12 @@
 Run with ``python -m siskinproxy.measure.membership_cost``.
 """
 
+import math
 import statistics
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 
 import fire
 import msgspec
@@ -143,38 +145,39 @@
     cluster.run(cluster.rng.random())
     name = cluster.rng.choice(sorted(cluster.nodes))
     cluster.kill(name)
-
-    def is_known() -> bool:
-        return all(
-            node.engine.membership.states().get(name) == 'dead'
-            for node in cluster.running()
-        )
-
-    duration_s = _run_until(cluster, is_known)
+    duration_s = _run_until(cluster, partial(_is_dead, cluster, name))
     cluster.start(name)
     cluster.run(PAUSE_S)
     return duration_s
 
 
+def _is_dead(cluster: FakeCluster, name: str) -> bool:
+    return all(
+        node.engine.membership.states().get(name) == 'dead'
+        for node in cluster.running()
+    )
+
+
 def _change(cluster: FakeCluster) -> tuple[float, float, int]:
     """Accept a change; return its time, bytes a node and busiest second."""
-    cluster.run(1 - cluster.now_s % 1)
+    cluster.run(math.ceil(cluster.now_s) - cluster.now_s)
     started_s = cluster.now_s
     generation = cluster.accept()
-
-    def is_in_force() -> bool:
-        return all(
-            node.engine.configuration.generation >= generation
-            for node in cluster.running()
-        )
-
-    duration_s = _run_until(cluster, is_in_force)
+    condition = partial(_is_in_force, cluster, generation)
+    duration_s = _run_until(cluster, condition)
     cluster.run(PAUSE_S - duration_s % PAUSE_S)
     spent = _bytes_of_seconds(cluster, started_s, PAUSE_S)
     per_node = sum(spent) / len(cluster.running())
     return duration_s, per_node, max(spent)
 
 
+def _is_in_force(cluster: FakeCluster, generation: int) -> bool:
+    return all(
+        node.engine.configuration.generation >= generation
+        for node in cluster.running()
+    )
+
+
 def _run_until(cluster: FakeCluster, condition: Callable[[], bool]) -> float:
     started_s = cluster.now_s
     while cluster.now_s - started_s < LIMIT_S:
