--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -21,6 +21,8 @@
     'SettingsError',
     'SharedTargetPortError',
     'SiskinproxyError',
+    'StandinCommandError',
+    'StandinTimeoutError',
     'StoreAccessError',
     'StoreConflictError',
     'StoreDataError',
@@ -34,6 +36,7 @@
     'UnknownTargetError',
     'UnknownZoneError',
     'ValueRangeError',
+    'WrongRegionError',
 )
 
 #: Exit code of a process whose settings are wrong.
@@ -358,6 +361,22 @@
     """The lease expired or was revoked."""
 
 
+class StandinTimeoutError(SiskinproxyError):
+    """A deployment of stand-ins did not reach a state in time."""
+
+    def __init__(self, what: str, limit_s: float) -> None:
+        super().__init__(f'missing="{what}" limit_s={limit_s}')
+        self.what = what
+
+
+class StandinCommandError(SiskinproxyError):
+    """A stand-in refused or failed to run a command of its control port."""
+
+    def __init__(self, command: str, detail: str) -> None:
+        super().__init__(f'command={command} detail="{detail}"')
+        self.command = command
+
+
 class StoreAccessError(StoreError):
     """The store rejected the token of the call, which had no effect."""
 
@@ -434,3 +453,20 @@
         super().__init__(f'submission={submission_id} generation={generation}')
         self.submission_id = submission_id
         self.generation = generation
+
+
+class WrongRegionError(ConfigurationError):
+    """A configuration was submitted to another region than its own.
+
+    Parameters
+    ----------
+    expected : str
+        Region that it was submitted to.
+    found : str
+        Region that it names.
+    """
+
+    def __init__(self, expected: str, found: str) -> None:
+        super().__init__(f'region={found} expected={expected}')
+        self.expected = expected
+        self.found = found
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -46,6 +46,9 @@
 UNANSWERED_S: Final = 0.9
 #: Slowdown relative to the peers above which a warm-up is held.
 HOLD_FACTOR: Final = 2.0
+#: Mean deviations above the mean completion time that are reserved before the
+#: deadline of a queued flow, as in the retransmission timeout of RFC 6298.
+DEVIATIONS: Final = 4
 _MS_PER_S: Final = 1000.0
 
 _Decision = Admitted | Refused
@@ -71,7 +74,8 @@
         Current time in seconds.
     takeover : bool
         Whether another instance may still act as owner, so that only half of
-        each limit is granted for ``limits.takeover_s``.
+        the limits of targets that warm up is granted for
+        ``limits.takeover_s``.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         self._budget = RetryBudget(limits.retry_share, limits.retry_floor_per_s)
         self._refreshed_s = -math.inf
         self._completion_s = limits.default_completion_s
+        self._completion_bound_s = limits.default_completion_s
         self._mean_busy_s: dict[Mode, float] = {'request': 0, 'stream': 0}
 
     def apply(
@@ -138,6 +143,7 @@
             state.retired = True
             if state.requests.count or state.streams.count:
                 self._states[name] = state
+        self._requeue_undelivered(now_s)
         for state in self._states.values():
             if state.target.zone in zones_out:
                 self._abandon(state, now_s)
@@ -147,6 +153,25 @@
         self._running = True
         self._refresh(now_s)
 
+    def set_reachable_zones(
+        self, reachable_zones: frozenset[str], now_s: float
+    ) -> None:
+        """Set the zones whose targets may get segments.
+
+        ``open`` does the same; call this when the zones change between
+        openings, since queued flows and retries use the last known zones.
+
+        Parameters
+        ----------
+        reachable_zones : frozenset of str
+            Zones whose targets this instance may send segments to.
+        now_s : float
+            Current time in seconds.
+        """
+        if reachable_zones != self._reachable_zones:
+            self._reachable_zones = reachable_zones
+            self._requeue_undelivered(now_s)
+
     def open(
         self,
         key: bytes,
@@ -178,11 +203,12 @@
         Admitted or Queued or Refused
             The decision; for a queued flow ``poll`` returns the final one.
         """
-        self._reachable_zones = reachable_zones
+        self.set_reachable_zones(reachable_zones, now_s)
         self._refresh_if_due(now_s)
         repeated = self._repeated(key, now_s)
         if repeated is not None:
             return repeated
+        self._queue.note_arrival(listener.priority, now_s)
         self._dispatch(now_s)
         deadline_at_s = now_s + listener.deadline_ms / _MS_PER_S
         flow = QueuedFlow(key, listener, ingress_zone, now_s, deadline_at_s)
@@ -256,6 +282,9 @@
     def target_refused(self, key: bytes, now_s: float) -> Admitted | Refused:
         """Decide about a flow whose opening segment the target refused.
 
+        A long-lived flow that was admitted more than ``limits.opening_s`` ago
+        is refused as cancelled, and ``closed`` has to release its connection.
+
         Parameters
         ----------
         key : bytes
@@ -328,16 +357,16 @@
         if reset:
             state.evidence.note_reset()
         else:
-            state.evidence.note_completed(
-                listener.target_port,
-                now_s - record.started_s,
-                warm=state.warmup is None,
-            )
+            state.note_completed(record, now_s)
         self._check_cold_start(state, now_s)
 
     def cancel(self, key: bytes, now_s: float) -> None:
         """Forget a flow that its caller gave up.
 
+        Long-lived flows that were accepted, or admitted more than
+        ``limits.opening_s`` ago, end with ``closed`` instead, since only the
+        caller of this method knows their target.
+
         Parameters
         ----------
         key : bytes
@@ -419,6 +448,20 @@
             state.begin_warmup(ColdStartReason.ANNOUNCED, now_s)
         return state
 
+    def _requeue_undelivered(self, now_s: float) -> None:
+        """Queue flows again whose target may not get them any more."""
+        serving = self._serving()
+        for key in tuple(self._decided):
+            record = self._flows.get(key)
+            if record is None or record.state in serving:
+                continue
+            self._decided.pop(key)
+            self._remove(record, now_s)
+            flow = QueuedFlow(
+                key, record.listener, '', record.started_s, record.deadline_at_s
+            )
+            self._queue.push(flow)
+
     def _abandon(self, state: TargetState, now_s: float) -> None:
         state.out_of_service = True
         state.abandon_flows(now_s)
@@ -439,6 +482,8 @@
         if not (record.accepted or record.unanswered):
             if now_s - record.started_s >= UNANSWERED_S:
                 self._note_unanswered(record, now_s)
+        # This call delivers a decision that poll has not returned yet.
+        self._decided.pop(key, None)
         return Admitted(record.state.target, AdmittedReason.REPEATED)
 
     def _note_unanswered(self, record: FlowRecord, now_s: float) -> None:
@@ -547,12 +592,15 @@
             record = heapq.heappop(self._expiry)[2]
             if self._flows.get(record.key) is not record:
                 continue
+            self._decided.pop(record.key, None)
+            if record.listener.mode == 'stream':
+                # The notice of an acceptance may be lost, so its absence alone
+                # is no evidence while the flow is open.
+                self._flows.pop(record.key)
+                continue
             if not (record.accepted or record.unanswered):
                 self._note_unanswered(record, now_s)
-            if record.listener.mode == 'request':
-                self._remove(record, now_s)
-            else:
-                self._flows.pop(record.key)
+            self._remove(record, now_s)
 
     def _full_rate_per_s(self, state: TargetState, mode: Mode) -> float:
         target = state.target
@@ -595,13 +643,15 @@
         )
         if rate_per_s == 0:
             return RefusedReason.NO_CAPACITY
-        completion_s = self._completion_s if mode == 'request' else 0
-        remaining_s = flow.deadline_at_s - now_s - completion_s
-        if (ahead + 1) / rate_per_s <= remaining_s:
-            return None
         priority = flow.listener.priority
+        overtaking = self._queue.more_important_rate_per_s(priority, now_s)
+        remaining_s = flow.deadline_at_s - now_s
+        if mode == 'request':
+            remaining_s -= self._completion_bound_s
+        if ahead + 1 <= remaining_s * (rate_per_s - overtaking):
+            return None
         overtaken = self._queue.count_more_important(priority)
-        if (ahead - overtaken + 1) / rate_per_s <= remaining_s:
+        if ahead - overtaken + 1 <= remaining_s * rate_per_s:
             return RefusedReason.LOWER_PRIORITY
         return RefusedReason.QUEUE_DEADLINE
 
@@ -672,8 +722,16 @@
             for state in self._states.values()
             if state.serves and state.evidence.recent_completion_s
         ]
-        if times:
-            self._completion_s = statistics.median(times)
+        if not times:
+            return
+        self._completion_s = statistics.median(times)
+        bounds = (
+            state.evidence.recent_completion_s
+            + DEVIATIONS * state.evidence.recent_deviation_s
+            for state in self._states.values()
+            if state.serves and state.evidence.recent_completion_s
+        )
+        self._completion_bound_s = statistics.median(bounds)
 
     def _update_stalls(self, serving: list[TargetState], now_s: float) -> None:
         levels = [state.stall_level(now_s) for state in serving]
@@ -681,7 +739,7 @@
             # Most targets are slow, which no cold start explains.
             levels = [0] * len(levels)
         for state, level in zip(serving, levels, strict=True):
-            state.stalled = level >= 1
+            state.set_stalled(level >= 1, now_s)
             if level >= STALL_COLD_FACTOR and state.warmup is None:
                 state.begin_warmup(ColdStartReason.STALLED, now_s)
 
@@ -699,7 +757,7 @@
         state.warmup = None
 
     def _update_limits(self, warm: list[TargetState], now_s: float) -> None:
-        divisor = 2 if now_s < self._half_until_s else 1
+        is_takeover = now_s < self._half_until_s
         mean_streams = _mean(state.streams.count for state in warm)
         for state in self._states.values():
             slots = state.target.slots
@@ -710,8 +768,13 @@
                 # ramp instead of taking all new flows until then.
                 full = min(mean_streams or connections, connections)
                 connections = state.warmup.limit(full)
-            state.request_limit = max(slots // divisor, 1)
-            state.stream_limit = max(connections // divisor, 1)
+                if is_takeover:
+                    # A warm target refuses what exceeds its slots, but a cold
+                    # one fails, so only its limit is halved.
+                    slots //= 2
+                    connections //= 2
+            state.request_limit = max(slots, 1)
+            state.stream_limit = max(connections, 1)
 
 
 def _mean(numbers: Iterable[float]) -> float:
