--- a/siskinproxy/balancer/control_process.py
+++ b/siskinproxy/balancer/control_process.py
@@ -1,9 +1,11 @@
 """Control process of an instance: sockets and timers around the engine."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import time
+from collections import Counter
 from typing import Final
 
 import fire
@@ -19,6 +21,7 @@
     CounterReport,
     Keepalive,
 )
+from siskinproxy.balancer.control_metrics import ControlMetrics, MetricsPage
 from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.balancer.settings import (
     InstanceSettings,
@@ -92,7 +95,9 @@
         self._stop_asked = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         self._store: GrpcKeyValueClient | None = None
+        self._source: StoreSource | None = None
         self._admin: AdminServer | None = None
+        self._page: MetricsPage | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._link = ControlLinkClient(
             cfg.packet.link_port,
@@ -119,6 +124,9 @@
         self._tasks.append(asyncio.create_task(self._run_timers()))
         if self._cfg.store.address:
             await self._start_store()
+        if self._cfg.control.metrics_port:
+            self._page = self._make_page()
+            await self._page.start()
         if self._cfg.admin.port:
             self._admin = self._make_admin()
             await self._admin.start()
@@ -144,15 +152,23 @@
 
     async def close(self) -> None:
         """Say farewell and release the sockets."""
-        if self._admin is not None:
-            await self._admin.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._perform(self.engine.farewell(time.monotonic()))
-        await self._link.close()
-        if self._store is not None:
-            await self._store.close()
+        # The source releases the reader role through the store, so the
+        # client of the store is closed last.
+        parts = (
+            self._store,
+            self._source,
+            self._link,
+            self._page,
+            self._admin,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            for part in parts:
+                if part is not None:
+                    stack.push_async_callback(part.close)
         if self._transport is not None:
             self._transport.close()
         self._log.event('control_process_stopped')
@@ -186,10 +202,12 @@
         )
         # No platform names instances of other zones, and the file is read.
         self.engine.membership.suggest((), ())
+        now_s = time.monotonic()
         step = self.engine.adopt_from_store(
             found.head,
             found.sections,
-            time.monotonic(),
+            now_s,
+            now_s,
         )
         self._perform(step)
 
@@ -197,6 +215,17 @@
         """Handle a datagram from another instance."""
         self._perform(self.engine.on_datagram(payload, time.monotonic()))
 
+    def _make_page(self) -> MetricsPage:
+        metrics = ControlMetrics(self.engine, self._count_calls)
+        return MetricsPage(
+            metrics,
+            self._cfg.instance.address,
+            self._cfg.control.metrics_port,
+        )
+
+    def _count_calls(self) -> Counter[str]:
+        return self._store.calls if self._store else Counter()
+
     def _make_admin(self) -> AdminServer:
         instance = self._cfg.instance
         view = AdminView(
@@ -222,13 +251,13 @@
         await self._store.start()
         source = StoreSource(
             self._store,
-            self._cfg.instance.region,
+            self._cfg.instance,
             self.engine,
             self._perform,
             self._log,
             self._rng,
         )
-        source.set_watching(True)
+        self._source = source
         self._tasks.append(asyncio.create_task(source.run()))
 
     async def _run_timers(self) -> None:
