--- a/siskinproxy/standins/demo.py
+++ b/siskinproxy/standins/demo.py
@@ -293,7 +293,8 @@
         deployment = self._deployment
         outcomes = deployment.command('callers', 'outcomes')
         records = deployment.target_records()
-        for fault in list_faults(outcomes, records, self._abandoned):
+        resets = deployment.command('fabric', 'resets')
+        for fault in list_faults(outcomes, records, resets, self._abandoned):
             self._say(f'fault {format_pairs(fault)}')
         summary = summarize(
             outcomes,
--- a/siskinproxy/standins/fabric.py
+++ b/siskinproxy/standins/fabric.py
@@ -18,6 +18,8 @@
 
 from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.fabric.segments import (
+    FLAGS_OFFSET,
+    RST,
     Endpoint,
     is_ipv4_tcp,
     unpack_endpoint,
@@ -108,6 +110,13 @@
         Source of all random choices.
     faults : FabricFaults
         Faults at the start.
+
+    Attributes
+    ----------
+    counters : collections.Counter
+        Events by name.
+    resets : dict
+        Instance that sent the last RST to a caller, by caller.
     """
 
     def __init__(
@@ -117,6 +126,7 @@
     ) -> None:
         self.counters: Counter[str] = Counter()
         self.faults = faults
+        self.resets: dict[str, tuple[str, int]] = {}
         self._rng = rng
         self._known: tuple[FabricInstance, ...] = ()
         self._live: tuple[FabricInstance, ...] = ()
@@ -174,7 +184,7 @@
         copies = self._copies()
         deliveries = []
         for _ in range(copies):
-            endpoint = self._destination(datagram)
+            endpoint = self._destination(datagram, sender)
             if endpoint is None:
                 continue
             deliveries += self._delay(Delivery(endpoint, datagram), now_s)
@@ -224,10 +234,17 @@
             return 2
         return 1
 
-    def _destination(self, datagram: bytes) -> Endpoint | None:
+    def _destination(
+        self,
+        datagram: bytes,
+        sender: tuple[str, int],
+    ) -> Endpoint | None:
         if datagram[12:15] == _SERVICE_PREFIX:
             self.counters['to_callers'] += 1
-            return unpack_endpoint(datagram[16:20] + datagram[22:24])
+            caller = unpack_endpoint(datagram[16:20] + datagram[22:24])
+            if datagram[FLAGS_OFFSET] & RST:
+                self.resets[f'{caller.address}:{caller.port}'] = sender
+            return caller
         if not self._live:
             self.counters['no_instance'] += 1
             return None
@@ -280,6 +297,7 @@
             'set_instances': self._set_instances,
             'set_faults': self._set_faults,
             'cut': self._cut,
+            'resets': self._resets,
             'stats': self._stats,
             'stop': self.stop_event.command,
         }
@@ -358,6 +376,9 @@
         self._log.event('cut', instances=','.join(names))
         return {'cut_instances': names}
 
+    def _resets(self) -> Mapping[str, Any]:
+        return self._model.resets
+
     def _stats(self) -> Mapping[str, Any]:
         return self._model.stats()
 
--- a/siskinproxy/standins/summary.py
+++ b/siskinproxy/standins/summary.py
@@ -159,18 +159,25 @@
 def list_faults(
     callers: Mapping[str, Mapping[str, Any]],
     records: Mapping[str, Mapping[str, Any]],
+    resets: Mapping[str, Any],
     abandoned: Collection[str] = (),
 ) -> list[dict[str, Any]]:
     """Return the faults that no zone change explains.
 
-    Parameters are those of `summarize`.
+    Parameters
+    ----------
+    callers, records, abandoned : Mapping, Mapping, Collection of str
+        As in `summarize`.
+    resets : Mapping
+        Instance that sent the last RST, by caller.
 
     Returns
     -------
     list of dict
         Faults as the callers recorded them, with the targets that accepted
         the connection (``accepted_by``), executed the request
-        (``executed_by``) or reset segments of the flow (``reset_by``).
+        (``executed_by``) or reset segments of the flow (``reset_by``), and
+        the instance that passed the RST (``reset_from``).
     """
     faults = []
     for load in callers.values():
@@ -179,6 +186,7 @@
                 'accepted_by': _holders(records, 'accepted', fault['caller']),
                 'executed_by': _holders(records, 'executions', fault['id']),
                 'reset_by': _holders(records, 'resets', fault['caller']),
+                'reset_from': resets.get(fault['caller']),
             }
             if not set(known['accepted_by']) & set(abandoned):
                 faults.append({**fault, **known})
--- /dev/null
+++ b/siskinproxy/standins/tests/test_processes.py
@@ -0,0 +1,276 @@
+"""Failures of real processes, checked on counted outcomes.
+
+Every wait asks for progress: a number of answers and chunks after the fault.
+"""
+
+import signal
+from contextlib import contextmanager
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from siskinproxy.operators.configuration import Configuration
+from siskinproxy.operators.differences import with_target_draining
+from siskinproxy.standins.caller import Load
+from siskinproxy.standins.child import wait_until
+from siskinproxy.standins.demo import shorten_warmup
+from siskinproxy.standins.deployment import Deployment
+from siskinproxy.standins.summary import list_faults, summarize
+
+INSTANCES = 5
+FLOWS = 20
+REQUESTS_PER_S = 50
+ANSWERS = 200
+CHUNKS = FLOWS * 6
+LIMIT_S = 30
+
+CONFIGURATION = msgspec.convert(
+    {
+        'region': 'alfold',
+        'zones': [{'name': name} for name in 'abc'],
+        'services': [
+            {
+                'name': 'desk',
+                'listeners': [
+                    {
+                        'address': '203.0.113.1',
+                        'port': 443,
+                        'target_port': 7000,
+                        'name': 'submission',
+                    }
+                ],
+                'targets': [
+                    {
+                        'name': f'desk-{number}',
+                        'address': f'127.1.{number % 3 + 1}.{number + 1}',
+                        'zone': 'abc'[number % 3],
+                    }
+                    for number in range(4)
+                ],
+            },
+            {
+                'name': 'archive',
+                'listeners': [
+                    {
+                        'address': '203.0.113.2',
+                        'port': 443,
+                        'target_port': 7001,
+                        'mode': 'stream',
+                        'name': 'ledgers',
+                    }
+                ],
+                'targets': [
+                    {
+                        'name': f'archive-{number}',
+                        'address': f'127.1.{number + 1}.101',
+                        'zone': 'abc'[number],
+                    }
+                    for number in range(3)
+                ],
+            },
+        ],
+    },
+    Configuration,
+)
+
+
+class Run:
+    """Deployment under load."""
+
+    def __init__(self, directory: Path) -> None:
+        cfg = shorten_warmup(CONFIGURATION, 2)
+        self.deployment = Deployment(cfg, directory)
+
+    def start(self):
+        self.deployment.start(INSTANCES)
+        for service in self.deployment.cfg.services:
+            for listener in service.listeners:
+                load = Load(
+                    name=listener.name,
+                    service=service.name,
+                    address=listener.address,
+                    port=listener.port,
+                    kind=listener.mode,
+                    rate=REQUESTS_PER_S,
+                    flows=FLOWS,
+                    work_ms=20,
+                    deadline_ms=10000,
+                    interval_ms=200,
+                )
+                self.deployment.start_load(load)
+        wait_until(lambda: self.count('established') == FLOWS, 'flows', LIMIT_S)
+        self.wait_for_progress(answers=20)
+
+    def count(self, name):
+        loads = self.deployment.caller_stats().values()
+        return sum(load[name] for load in loads)
+
+    def wait_for_progress(self, answers=ANSWERS, chunks=CHUNKS):
+        """Wait until requests and all long flows went on."""
+        answered = self.count('answered') + answers
+        fetched = self.count('chunks') + chunks
+        wait_until(
+            lambda: (
+                self.count('answered') >= answered
+                and self.count('chunks') >= fetched
+            ),
+            f'{answers} answers and {chunks} chunks',
+            LIMIT_S,
+        )
+
+    def finish(self):
+        """Stop the load; return the outcomes and what explains faults."""
+        deployment = self.deployment
+        for name in deployment.caller_stats():
+            deployment.command('callers', 'stop_load', name=name)
+        wait_until(
+            lambda: not self.count('in_progress'), 'idle callers', LIMIT_S
+        )
+        outcomes = deployment.command('callers', 'outcomes')
+        records = deployment.target_records()
+        summary = summarize(
+            outcomes,
+            deployment.caller_stats(),
+            records,
+            deployment.target_stats(),
+        )
+        resets = deployment.command('fabric', 'resets')
+        faults = list_faults(outcomes, records, resets)
+        return summary, '\n'.join(map(str, faults))
+
+
+@contextmanager
+def running(directory):
+    run = Run(directory)
+    try:
+        run.start()
+        yield run
+    finally:
+        run.deployment.close()
+
+
+def kill_instance(run):
+    deployment = run.deployment
+    deployment.instances[1].signal(signal.SIGKILL)
+    wait_until(lambda: not deployment.instances[1].is_running, 'exit', LIMIT_S)
+    # The platform's list still names the instance while requests go on.
+    run.wait_for_progress(answers=20, chunks=0)
+    deployment.publish_instances()
+    deployment.wait_for_members(LIMIT_S)
+    run.wait_for_progress()
+
+
+def freeze_and_resume_instance(run):
+    deployment = run.deployment
+    frozen = deployment.instances[1]
+    others = [item for item in deployment.instances if item is not frozen]
+    frozen.signal(signal.SIGSTOP)
+    wait_until(
+        lambda: all(item.members == INSTANCES - 1 for item in others),
+        'members without the frozen instance',
+        LIMIT_S,
+    )
+    frozen.signal(signal.SIGCONT)
+    deployment.wait_for_members(LIMIT_S)
+    run.wait_for_progress()
+
+
+def kill_control_process(run):
+    deployment = run.deployment
+    instance = deployment.instances[1]
+    instance.control.kill()
+    run.wait_for_progress()
+    deployment.start_control(instance)
+    deployment.wait_for_members(LIMIT_S)
+    run.wait_for_progress()
+
+
+def stop_instance_as_planned(run):
+    deployment = run.deployment
+    leaving = deployment.instances[1]
+    deployment.stop_instance(leaving)
+    wait_until(lambda: not leaving.is_running, 'planned exit', LIMIT_S)
+    assert [child.exit_code for child in leaving.children] == [0, 0]
+    deployment.publish_instances()
+    run.wait_for_progress()
+
+
+def store_outage(run):
+    deployment = run.deployment
+    deployment.set_store_outage(True)
+    run.wait_for_progress()
+    # Starts from its peers' configuration.
+    instance = deployment.instances[1]
+    instance.control.kill()
+    deployment.start_control(instance)
+    deployment.wait_for_members(LIMIT_S)
+    run.wait_for_progress()
+    deployment.set_store_outage(False)
+    deployment.submit(with_target_draining(deployment.cfg, 'desk-1', flag=True))
+    deployment.wait_for_generation(LIMIT_S)
+
+
+def packet_faults(run):
+    run.deployment.command(
+        'fabric',
+        'set_faults',
+        loss=0.03,
+        duplication=0.03,
+        reordering=0.05,
+        reordering_s=0.02,
+    )
+    run.wait_for_progress(answers=400)
+    run.deployment.command(
+        'fabric', 'set_faults', loss=0, duplication=0, reordering=0
+    )
+    stats = run.deployment.command('fabric', 'stats')
+    assert min(stats['lost'], stats['duplicated'], stats['reordered']) > 0
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        kill_instance,
+        freeze_and_resume_instance,
+        kill_control_process,
+        stop_instance_as_planned,
+        store_outage,
+        packet_faults,
+    ],
+    ids=lambda fault: fault.__name__,
+)
+def test_failure_breaks_no_invariant(fault, tmp_path):
+    """Guards against flows and requests that one failure breaks."""
+    with running(tmp_path) as run:
+        fault(run)
+        summary, faults = run.finish()
+    assert summary.violations() == {}, faults
+    assert summary.flows == FLOWS
+    assert summary.answered >= ANSWERS
+
+
+def test_target_cold_again_recovers(tmp_path):
+    """Guards against load that keeps a cold target from starting."""
+    with running(tmp_path) as run:
+        deployment = run.deployment
+        deployment.target_command('desk-1', 'cold')
+        run.wait_for_progress()
+        before = deployment.target_stats()['desk-1'].get('answered', 0)
+        wait_until(
+            lambda: (
+                deployment.target_stats()['desk-1'].get('answered', 0)
+                >= before + 20
+            ),
+            'answers of the target that was cold',
+            LIMIT_S,
+        )
+        summary, faults = run.finish()
+    # Nothing announces the cold start, so requests that the target already
+    # has may be lost with it, once.
+    target = deployment.target('desk-1')
+    assert summary.cold_failures <= 1, faults
+    assert summary.lost <= summary.cold_failures * (target.slots + 8), faults
+    named = ('at_most_once', 'truthful_refusal', 'service_isolation')
+    assert not set(named) & set(summary.violations()), faults
+    assert summary.broken_flows == 0, faults
