--- a/siskinproxy/standins/tests/test_processes.py
+++ b/siskinproxy/standins/tests/test_processes.py
@@ -11,7 +11,10 @@
 import pytest
 
 from siskinproxy.operators.configuration import Configuration
-from siskinproxy.operators.differences import with_target_draining
+from siskinproxy.operators.differences import (
+    with_target_draining,
+    with_zone_in_service,
+)
 from siskinproxy.standins.caller import Load
 from siskinproxy.standins.child import wait_until
 from siskinproxy.standins.demo import shorten_warmup
@@ -81,6 +84,7 @@
     def __init__(self, directory: Path) -> None:
         cfg = shorten_warmup(CONFIGURATION, 2)
         self.deployment = Deployment(cfg, directory)
+        self.abandoned = []
 
     def start(self):
         self.deployment.start(INSTANCES)
@@ -134,9 +138,10 @@
             deployment.caller_stats(),
             records,
             deployment.target_stats(),
+            self.abandoned,
         )
         resets = deployment.command('fabric', 'resets')
-        faults = list_faults(outcomes, records, resets)
+        faults = list_faults(outcomes, records, resets, self.abandoned)
         return summary, '\n'.join(map(str, faults))
 
 
@@ -250,6 +255,38 @@
     assert summary.answered >= ANSWERS
 
 
+def test_zone_change_breaks_other_zones_nothing(tmp_path):
+    """Guards against flows that end although their target stays in service.
+
+    The targets of the zone return cold, so this also guards the warm-up
+    limit.
+    """
+    with running(tmp_path) as run:
+        deployment = run.deployment
+        for zone in 'bc':
+            targets = [
+                target.name
+                for service in deployment.cfg.services
+                for target in service.targets
+                if target.zone == zone
+            ]
+            run.abandoned += targets
+            deployment.submit(
+                with_zone_in_service(deployment.cfg, zone, flag=False)
+            )
+            deployment.wait_for_generation(LIMIT_S)
+            run.wait_for_progress(answers=50, chunks=0)
+            for target in targets:
+                deployment.target_command(target, 'cold')
+            deployment.submit(
+                with_zone_in_service(deployment.cfg, zone, flag=True)
+            )
+            deployment.wait_for_generation(LIMIT_S)
+            run.wait_for_progress(answers=100, chunks=0)
+        summary, faults = run.finish()
+    assert summary.violations() == {}, faults
+
+
 def test_target_cold_again_recovers(tmp_path):
     """Guards against load that keeps a cold target from starting."""
     with running(tmp_path) as run:
