--- a/siskinproxy/standins/tests/test_processes.py
+++ b/siskinproxy/standins/tests/test_processes.py
@@ -23,8 +23,9 @@
 
 INSTANCES = 5
 FLOWS = 20
-REQUESTS_PER_S = 50
-ANSWERS = 200
+#: Enough that each change of owners meets requests that are being opened.
+REQUESTS_PER_S = 200
+ANSWERS = 600
 CHUNKS = FLOWS * 6
 LIMIT_S = 30
 
@@ -225,7 +226,7 @@
         reordering=0.05,
         reordering_s=0.02,
     )
-    run.wait_for_progress(answers=400)
+    run.wait_for_progress(answers=800)
     run.deployment.command(
         'fabric', 'set_faults', loss=0, duplication=0, reordering=0
     )
@@ -275,14 +276,14 @@
                 with_zone_in_service(deployment.cfg, zone, flag=False)
             )
             deployment.wait_for_generation(LIMIT_S)
-            run.wait_for_progress(answers=50, chunks=0)
+            run.wait_for_progress(answers=200, chunks=0)
             for target in targets:
                 deployment.target_command(target, 'cold')
             deployment.submit(
                 with_zone_in_service(deployment.cfg, zone, flag=True)
             )
             deployment.wait_for_generation(LIMIT_S)
-            run.wait_for_progress(answers=100, chunks=0)
+            run.wait_for_progress(answers=400, chunks=0)
         summary, faults = run.finish()
     assert summary.violations() == {}, faults
 
