--- a/siskinproxy/standins/caller.py
+++ b/siskinproxy/standins/caller.py
@@ -113,6 +113,7 @@
             'target': flow.target,
             'detail': flow.detail,
             'unix_s': time.time(),
+            'opened_unix_s': time.time() - time.monotonic() + flow.opened_s,
         }
         self.faults.append(fault)
 
--- a/siskinproxy/standins/demo.py
+++ b/siskinproxy/standins/demo.py
@@ -89,7 +89,7 @@
         self._deployment = deployment
         self._start_s = time.monotonic()
         self._rows: list[tuple[str, ...]] = []
-        self._abandoned: list[str] = []
+        self._abandoned: dict[str, float] = {}
         self._marks: dict[str, Any] = {}
 
     def run(self) -> Summary:
@@ -215,12 +215,13 @@
             for target in service.targets
             if target.zone == zone
         ]
-        self._abandoned += targets
         self._begin()
         self._say(f'taking zone {zone} out of service')
         accepted_s = deployment.submit(
             with_zone_in_service(deployment.cfg, zone, flag=False),
         )
+        until_unix_s = time.time() + _CHANGE_LIMIT_S
+        self._abandoned |= dict.fromkeys(targets, until_unix_s)
         self._wait_for_configuration()
         self._check_silence('zone_out', targets, 'received', accepted_s)
         self._end('zone out of service')
--- a/siskinproxy/standins/summary.py
+++ b/siskinproxy/standins/summary.py
@@ -2,12 +2,15 @@
 
 from collections import Counter
 from collections.abc import Collection, Mapping
-from typing import Any
+from types import MappingProxyType
+from typing import Any, Final
 
 import msgspec
 
 __all__ = ('Summary', 'imbalance', 'list_faults', 'summarize')
 
+_NOTHING: Final[Mapping[str, float]] = MappingProxyType({})
+
 
 class Summary(msgspec.Struct, frozen=True, kw_only=True):
     """Counted outcomes.
@@ -99,7 +102,7 @@
     loads: Mapping[str, Mapping[str, Any]],
     records: Mapping[str, Mapping[str, Any]],
     targets: Mapping[str, Mapping[str, Any]],
-    abandoned: Collection[str] = (),
+    abandoned: Mapping[str, float] = _NOTHING,
 ) -> Summary:
     """Combine what callers and targets recorded.
 
@@ -113,9 +116,10 @@
         Executions and accepted callers by target.
     targets : Mapping
         Stats by target.
-    abandoned : Collection of str
+    abandoned : Mapping of str to float
         Targets whose flows were abandoned when their zone was taken out of
-        service.
+        service, with the time until which flows can have been opened there,
+        in seconds since the Unix epoch.
 
     Returns
     -------
@@ -124,10 +128,7 @@
     """
     ids = _ids_by_outcome(callers)
     executions = _executions(records)
-    gone = {
-        caller for name in abandoned for caller in records[name]['accepted']
-    }
-    faults = _count_faults(callers, gone)
+    faults = _count_faults(callers, records, abandoned)
     return Summary(
         flows=sum(load['established_total'] for load in loads.values()),
         broken_flows=faults['broken'],
@@ -160,13 +161,13 @@
     callers: Mapping[str, Mapping[str, Any]],
     records: Mapping[str, Mapping[str, Any]],
     resets: Mapping[str, Any],
-    abandoned: Collection[str] = (),
+    abandoned: Mapping[str, float] = _NOTHING,
 ) -> list[dict[str, Any]]:
     """Return the faults that no zone change explains.
 
     Parameters
     ----------
-    callers, records, abandoned : Mapping, Mapping, Collection of str
+    callers, records, abandoned : Mapping
         As in `summarize`.
     resets : Mapping
         Instance that sent the last RST, by caller.
@@ -182,17 +183,38 @@
     faults = []
     for load in callers.values():
         for fault in load['faults']:
-            known = {
-                'accepted_by': _holders(records, 'accepted', fault['caller']),
-                'executed_by': _holders(records, 'executions', fault['id']),
-                'reset_by': _holders(records, 'resets', fault['caller']),
-                'reset_from': resets.get(fault['caller']),
-            }
-            if not set(known['accepted_by']) & set(abandoned):
-                faults.append({**fault, **known})
+            if not _is_abandoned(fault, records, abandoned):
+                faults.append(_explain(fault, records, resets))
     return faults
 
 
+def _explain(
+    fault: Mapping[str, Any],
+    records: Mapping[str, Mapping[str, Any]],
+    resets: Mapping[str, Any],
+) -> dict[str, Any]:
+    caller = fault['caller']
+    return {
+        **fault,
+        'accepted_by': _holders(records, 'accepted', caller),
+        'executed_by': _holders(records, 'executions', fault['id']),
+        'reset_by': _holders(records, 'resets', caller),
+        'reset_from': resets.get(caller),
+    }
+
+
+def _is_abandoned(
+    fault: Mapping[str, Any],
+    records: Mapping[str, Mapping[str, Any]],
+    abandoned: Mapping[str, float],
+) -> bool:
+    return any(
+        fault['caller'] in records[target]['accepted']
+        and fault['opened_unix_s'] <= until_unix_s
+        for target, until_unix_s in abandoned.items()
+    )
+
+
 def _holders(
     records: Mapping[str, Mapping[str, Any]],
     kind: str,
@@ -224,12 +246,14 @@
 
 def _count_faults(
     callers: Mapping[str, Mapping[str, Any]],
-    gone: Collection[str],
+    records: Mapping[str, Mapping[str, Any]],
+    abandoned: Mapping[str, float],
 ) -> Counter[str]:
     faults: Counter[str] = Counter()
     for load in callers.values():
         for fault in load['faults']:
-            prefix = 'abandoned_' if fault['caller'] in gone else ''
+            is_abandoned = _is_abandoned(fault, records, abandoned)
+            prefix = 'abandoned_' if is_abandoned else ''
             faults[prefix + fault['outcome']] += 1
     return faults
 
--- a/siskinproxy/standins/tests/test_processes.py
+++ b/siskinproxy/standins/tests/test_processes.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -88,7 +89,7 @@
     def __init__(self, directory: Path) -> None:
         cfg = shorten_warmup(CONFIGURATION, 2)
         self.deployment = Deployment(cfg, directory)
-        self.abandoned = []
+        self.abandoned = {}
 
     def start(self):
         self.deployment.start(INSTANCES)
@@ -274,10 +275,11 @@
                 for target in service.targets
                 if target.zone == zone
             ]
-            run.abandoned += targets
             deployment.submit(
                 with_zone_in_service(deployment.cfg, zone, flag=False)
             )
+            # The limit of the invariant zone_out.
+            run.abandoned |= dict.fromkeys(targets, time.time() + 3)
             deployment.wait_for_generation(LIMIT_S)
             run.wait_for_progress(answers=200, chunks=0)
             for target in targets:
