--- a/siskinproxy/standins/child.py
+++ b/siskinproxy/standins/child.py
@@ -4,7 +4,6 @@
 import os
 import re
 import signal
-import socket
 import subprocess  # noqa: S404
 import sys
 import time
@@ -15,7 +14,7 @@
 import siskinproxy
 from siskinproxy.errors import StandinTimeoutError
 
-__all__ = ('Child', 'free_port', 'wait_until')
+__all__ = ('Child', 'wait_until')
 
 _ROOT: Final = Path(siskinproxy.__file__).parent.parent
 _PR_SET_PDEATHSIG: Final = 1
@@ -58,36 +57,6 @@
     return time.monotonic() - start_s
 
 
-def free_port(
-    kind: socket.SocketKind,
-    address: str,
-    used: set[tuple[str, int]],
-) -> int:
-    """Return a free port of an address that was not returned before.
-
-    Parameters
-    ----------
-    kind : socket.SocketKind
-        TCP or UDP.
-    address : str
-        IPv4 address.
-    used : set of tuple
-        Addresses and ports returned before; the new one is added.
-
-    Returns
-    -------
-    int
-        Port.
-    """
-    while True:
-        with socket.socket(socket.AF_INET, kind) as sock:
-            sock.bind((address, 0))
-            endpoint = sock.getsockname()
-        if endpoint not in used:
-            used.add(endpoint)
-            return endpoint[1]
-
-
 def _end_with_parent() -> None:
     # A launcher that is killed must not leave its children behind.
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/siskinproxy/standins/demo.py
+++ b/siskinproxy/standins/demo.py
@@ -323,18 +323,21 @@
     sys.exit(128 + number)
 
 
-def run(seed: int = 1) -> None:
+def run(seed: int = 1, directory: str = '') -> None:
     """Run the demo.
 
     Parameters
     ----------
     seed : int
         Seed of the stand-ins.
+    directory : str
+        Existing directory in which settings and logs remain; empty if they
+        are not needed after the run.
     """
     signal.signal(signal.SIGTERM, _exit_on_signal)
     cfg = shorten_warmup(_read_example(), _WARMUP_S)
-    with tempfile.TemporaryDirectory(prefix='siskinproxy-') as directory:
-        deployment = Deployment(cfg, Path(directory), seed)
+    with tempfile.TemporaryDirectory(prefix='siskinproxy-') as temporary:
+        deployment = Deployment(cfg, Path(directory or temporary), seed)
         demo = Demo(deployment)
         with closing(deployment):
             summary = demo.run()
--- a/siskinproxy/standins/deployment.py
+++ b/siskinproxy/standins/deployment.py
@@ -7,7 +7,6 @@
 import asyncio
 import itertools
 import os
-import random
 import signal
 import socket
 import time
@@ -23,8 +22,9 @@
 from siskinproxy.errors import StandinCommandError
 from siskinproxy.operators.configuration import Configuration, Target
 from siskinproxy.standins.caller import Load
-from siskinproxy.standins.child import Child, free_port, wait_until
+from siskinproxy.standins.child import Child, wait_until
 from siskinproxy.standins.control_port import send_command
+from siskinproxy.standins.ports import PortBlock
 from siskinproxy.standins.proto import store_faults_pb2
 from siskinproxy.standins.proto.store_faults_grpc import StoreControlStub
 from siskinproxy.standins.target_server import TargetSettings
@@ -108,7 +108,8 @@
         seed: int = 1,
         list_lag_s: float = 0.5,
     ) -> None:
-        self.cfg = _with_free_target_ports(cfg, random.Random(os.getpid()))
+        self._ports = PortBlock()
+        self.cfg = _with_target_ports(cfg, self._ports)
         self.generation = 0
         self.instances: list[Instance] = []
         self.store: Child | None = None
@@ -116,7 +117,6 @@
         self._seed = seed
         self._list_lag_s = list_lag_s
         self._numbers = itertools.count(1)
-        self._used: set[tuple[str, int]] = set()
         self._children: list[Child] = []
         self._control_ports: dict[str, int] = {}
         self._fabric_port = self._udp_port(_LOOPBACK)
@@ -149,6 +149,7 @@
         for child in itertools.chain(self._children, *groups):
             child.signal(signal.SIGCONT)
             child.kill()
+        self._ports.close()
 
     def running_instances(self) -> list[Instance]:
         """Return the instances whose processes run and do not leave."""
@@ -461,10 +462,10 @@
         return True
 
     def _udp_port(self, address: str) -> int:
-        return free_port(socket.SOCK_DGRAM, address, self._used)
+        return self._ports.take(socket.SOCK_DGRAM, (address,))
 
     def _tcp_port(self) -> int:
-        return free_port(socket.SOCK_STREAM, _LOOPBACK, self._used)
+        return self._ports.take(socket.SOCK_STREAM, (_LOOPBACK,))
 
 
 def _encode_toml(sections: dict[str, dict[str, Any]]) -> str:
@@ -477,45 +478,21 @@
     return '\n'.join(lines)
 
 
-def _with_free_target_ports(
-    cfg: Configuration,
-    rng: random.Random,
-) -> Configuration:
+def _with_target_ports(cfg: Configuration, ports: PortBlock) -> Configuration:
     """Replace target ports, so that deployments can run side by side."""
     addresses = [
         target.address for service in cfg.services for target in service.targets
     ]
-    used: set[int] = set()
     services = []
     for service in cfg.services:
-        listeners = []
-        for listener in service.listeners:
-            port = _common_free_port(addresses, used, rng)
-            used.add(port)
-            listeners.append(
-                msgspec.structs.replace(listener, target_port=port),
+        listeners = tuple(
+            msgspec.structs.replace(
+                listener,
+                target_port=ports.take(socket.SOCK_DGRAM, addresses),
             )
+            for listener in service.listeners
+        )
         services.append(
-            msgspec.structs.replace(service, listeners=tuple(listeners)),
+            msgspec.structs.replace(service, listeners=listeners),
         )
     return msgspec.structs.replace(cfg, services=tuple(services))
-
-
-def _common_free_port(
-    addresses: list[str],
-    used: set[int],
-    rng: random.Random,
-) -> int:
-    while True:
-        port = rng.randrange(10000, 30000)
-        if port not in used and all(_is_free(each, port) for each in addresses):
-            return port
-
-
-def _is_free(address: str, port: int) -> bool:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        try:
-            sock.bind((address, port))
-        except OSError:
-            return False
-    return True
