Count the flows of all new shards in one pass at a takeover

Cause: FlowOpener.apply visited all flow entries once for each new shard, so the packet loop stopped while an instance became owner. With 300,000 flows on 20 shards the pause exceeded the silence timeout of the control link; the control process then marked the instance as not serving and back, which started the next pause. Conclusion: flows share bindings, so one count over the bindings replaces the visits. Flows in mode request and flows of services with several shards still need their keys, in one pass for all shards.

--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -7,8 +7,8 @@
 
 from siskinproxy.balancer.engine_state import SUSPECT_S, EngineState
 from siskinproxy.balancer.routes import ListenerState, Route
+from siskinproxy.balancer.shard_restore import restore_shards
 from siskinproxy.balancer.snapshot import Member
-from siskinproxy.callers.flow_state import has_released_slot
 from siskinproxy.callers.flow_table import Binding, FlowState
 from siskinproxy.callers.requests import (
     Admitted,
@@ -124,8 +124,7 @@
         }
         for lost in set(self.admissions) - owned:
             del self.admissions[lost]
-        for shard in sorted(owned):
-            self._apply_shard(shard, now_s)
+        self._apply_shards(sorted(owned), now_s)
         self._forward_lost(now_s)
 
     def restore(self, key: bytes, route: Route, now_s: float) -> None:
@@ -373,7 +372,7 @@
         if shard.service not in self._state.routes.services:
             return
         self._deputized[shard] = []
-        self._apply_shard(shard, now_s)
+        self._apply_shards([shard], now_s)
 
     def _check_owner(self, service: str, key: bytes, now_s: float) -> None:
         """Suspect the owner on a peer's word unless it was heard lately."""
@@ -669,14 +668,21 @@
         active = self._count_active(now_s)
         if active != self._activated:
             self._activated = active
-            for shard in sorted(self.admissions):
-                self._apply_shard(shard, now_s)
+            self._apply_shards(sorted(self.admissions), now_s)
+
+    def _apply_shards(self, shards: list[ShardKey], now_s: float) -> None:
+        """Apply targets to shards, and count the flows of new ones."""
+        taken_over = set(shards) - set(self.admissions)
+        for shard in shards:
+            self._apply_shard(shard, now_s)
+        if taken_over:
+            restored = {new: self.admissions[new] for new in taken_over}
+            restore_shards(self._state, restored, now_s)
 
     def _apply_shard(self, shard: ShardKey, now_s: float) -> None:
         state = self._state
         service = state.routes.services[shard.service]
         admission = self.admissions.get(shard)
-        is_new = admission is None
         if admission is None:
             admission = ShardAdmission(
                 shard.service,
@@ -694,8 +700,6 @@
             if self._seen_s.get(target.name, now_s) <= limit_s
         )
         admission.apply(service, targets, state.routes.zones_out, now_s)
-        if is_new:
-            self._restore_shard(shard, admission, now_s)
 
     def _follows_failure(self, shard: ShardKey) -> bool:
         """Tell whether an earlier owner may go on deciding unnoticed.
@@ -711,27 +715,6 @@
                 return member_id(homes[0].name) not in state.peers
         return False
 
-    def _restore_shard(
-        self, shard: ShardKey, admission: ShardAdmission, now_s: float
-    ) -> None:
-        state = self._state
-        for table in (state.requests, state.streams):
-            for key, binding in table:
-                if self._is_open_in(shard, key, binding):
-                    listener = binding.route.listener.listener
-                    name = binding.route.target.name
-                    admission.restore(key, listener, name, now_s)
-
-    def _is_open_in(
-        self, shard: ShardKey, key: bytes, binding: Binding
-    ) -> bool:
-        service = binding.route.listener.service
-        if service != shard.service or has_released_slot(binding.state):
-            return False
-        if not binding.route.is_allowed:
-            return False
-        return self._state.shard(service, key) == shard
-
     def _forward_lost(self, now_s: float) -> None:
         """Send queued SYNs of shards given up to their new owners."""
         for key, opening in list(self._openings.items()):
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -241,6 +241,24 @@
         record.restored = True
         self._add(record, now_s)
 
+    def restore_streams(
+        self, target_name: str, count: int, now_s: float
+    ) -> None:
+        """Count flows in mode ``stream`` that another owner admitted.
+
+        Parameters
+        ----------
+        target_name : str
+            Target of the flows.
+        count : int
+            Number of flows, none of which this owner knows yet.
+        now_s : float
+            Current time in seconds.
+        """
+        state = self._states.get(target_name)
+        if state is not None and not state.out_of_service:
+            state.streams.change(count, now_s)
+
     def accepted(self, key: bytes, now_s: float) -> None:
         """Note that the target accepted the opening segment.
 
