--- /dev/null
+++ b/siskinproxy/measure/bench_load.py
@@ -0,0 +1,218 @@
+"""Load for the benchmark: sends segments and counts what comes out."""
+
+import select
+import socket
+import time
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from siskinproxy.fabric.segments import FLAGS_OFFSET, SYN
+from siskinproxy.measure.flow_samples import (
+    TARGET_PORT,
+    SampleFlows,
+    accept_syn,
+    make_configuration,
+    reset_of_syn,
+)
+
+__all__ = ('LoadGenerator', 'RoundResult')
+
+#: Datagrams in flight. A default socket buffer of 208 KiB holds about 500
+#: datagrams, so a window of half as many keeps the receiver busy without loss.
+WINDOW: Final = 256
+
+#: Datagrams of one call; the kernel splits them (UDP_SEGMENT), so the source
+#: needs a small part of the time that the receiver needs.
+BURST: Final = 32
+
+#: Flows whose segments are sent; enough to defeat the processor's caches.
+SENT_FLOWS: Final = 60_000
+
+#: Time that a new flow stays open.
+FLOW_LIFETIME_S: Final = 0.5
+
+#: Upper bound of the datagrams of one round.
+MAX_DATAGRAMS: Final = 3_000_000
+
+_UDP_SEGMENT: Final = 103
+_LOST_S: Final = 0.05
+_LOOPBACK: Final = '127.0.0.1'
+
+
+@dataclass(frozen=True)
+class RoundResult:
+    """Numbers of one round.
+
+    Parameters
+    ----------
+    duration_s : float
+        Length of the round in seconds.
+    received : int
+        Datagrams that came out.
+    opened : int
+        New flows whose SYN came out.
+    lost : int
+        Datagrams that did not come out.
+    """
+
+    duration_s: float
+    received: int
+    opened: int
+    lost: int
+
+
+class LoadGenerator:
+    """Sends segments of open and of new flows.
+
+    Parameters
+    ----------
+    target_count : int
+        Targets of the configuration.
+    flow_count : int
+        Flows that the receiver has open.
+    new_flows_per_s : float
+        Rate of SYNs.
+    """
+
+    def __init__(
+        self,
+        target_count: int,
+        flow_count: int,
+        new_flows_per_s: float,
+    ) -> None:
+        cfg = make_configuration(target_count)
+        self._rate_per_s = new_flows_per_s
+        self._new_flows = SampleFlows(cfg, caller_net=2)
+        self._next_flow = 0
+        self._bursts = _make_bursts(SampleFlows(cfg), flow_count)
+        self._sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sink.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
+        self._sink.bind(('0.0.0.0', TARGET_PORT))
+        self._sink.setblocking(False)
+        self._closing: deque[tuple[float, bytes]] = deque()
+        self._opening: dict[bytes, bytes] = {}
+        self._outstanding = 0
+        self._opened = 0
+        self._lost = 0
+
+    def run_round(self, port: int, duration_s: float) -> RoundResult:
+        """Load a receiver for some time.
+
+        Parameters
+        ----------
+        port : int
+            UDP port of the receiver.
+        duration_s : float
+            Length of the round in seconds.
+
+        Returns
+        -------
+        RoundResult
+            What came out.
+        """
+        self._outstanding = 0
+        self._opened = 0
+        self._lost = 0
+        received = 0
+        sent = 0
+        single, bulk = _connect(port), _connect(port)
+        # 40 bytes of headers and the payload of each segment.
+        size = len(self._bursts[0]) // BURST
+        bulk.setsockopt(socket.IPPROTO_UDP, _UDP_SEGMENT, size)
+        self._drain(single)
+        started_s = time.perf_counter()
+        now_s = started_s
+        due = started_s
+        while now_s < started_s + duration_s and sent < MAX_DATAGRAMS:
+            bulk.send(self._bursts[(sent // BURST) % len(self._bursts)])
+            sent += BURST
+            self._outstanding += BURST
+            while due <= now_s:
+                due += 1 / self._rate_per_s
+                self._open_flow(single)
+            self._close_flows(single, now_s)
+            received += self._receive(single)
+            now_s = time.perf_counter()
+        elapsed_s = time.perf_counter() - started_s
+        result = RoundResult(elapsed_s, received, self._opened, self._lost)
+        self._finish(single)
+        single.close()
+        bulk.close()
+        return result
+
+    def close(self) -> None:
+        """Release the socket."""
+        self._sink.close()
+
+    def _open_flow(self, sock: socket.socket) -> None:
+        syn = self._new_flows.request(self._next_flow, SYN)
+        self._next_flow += 1
+        self._opening[syn[12:16] + syn[20:22]] = syn
+        sock.send(syn)
+        self._outstanding += 1
+
+    def _close_flows(self, sock: socket.socket, now_s: float) -> None:
+        while self._closing and self._closing[0][0] <= now_s:
+            sock.send(self._closing.popleft()[1])
+            self._outstanding += 1
+
+    def _receive(self, sock: socket.socket) -> int:
+        received = 0
+        recv = self._sink.recv
+        while self._outstanding > WINDOW - BURST:
+            try:
+                datagram = recv(2048)
+            except BlockingIOError:
+                if not select.select([self._sink], [], [], _LOST_S)[0]:
+                    self._lost += self._outstanding
+                    self._outstanding = 0
+                continue
+            self._outstanding -= 1
+            received += 1
+            if datagram[FLAGS_OFFSET] == SYN:
+                self._accept(sock, datagram)
+        return received
+
+    def _accept(self, sock: socket.socket, syn: bytes) -> None:
+        self._opened += 1
+        sock.send(accept_syn(syn))
+        self._outstanding += 1
+        caller = syn[12:16] + syn[20:22]
+        original = self._opening.pop(caller, syn)
+        due_s = time.perf_counter() + FLOW_LIFETIME_S
+        self._closing.append((due_s, reset_of_syn(original)))
+
+    def _finish(self, sock: socket.socket) -> None:
+        """Close the flows of the round, so that each starts alike."""
+        for _, reset in self._closing:
+            sock.send(reset)
+            self._drain(sock)
+        self._closing.clear()
+        self._opening.clear()
+        time.sleep(_LOST_S)
+        self._drain(sock)
+
+    def _drain(self, sock: socket.socket) -> None:
+        while select.select([self._sink], [], [], 0.001)[0]:
+            self._sink.recv(2048)
+
+
+def _connect(port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.connect((_LOOPBACK, port))
+    return sock
+
+
+def _make_bursts(flows: SampleFlows, flow_count: int) -> list[bytes]:
+    """Return bursts from callers and from targets in turn."""
+    count = min(SENT_FLOWS, flow_count) // BURST
+    step = max(1, flow_count // (count * BURST))
+    bursts = []
+    for index in range(count):
+        make = flows.response if index % 2 else flows.request
+        numbers = range(index * BURST, (index + 1) * BURST)
+        bursts.append(
+            b''.join(make(number * step + number % step) for number in numbers)
+        )
+    return bursts
--- /dev/null
+++ b/siskinproxy/measure/bench_relays.py
@@ -0,0 +1,168 @@
+"""Receivers that the benchmark compares, each in a process of its own."""
+
+import signal
+import socket
+import time
+from collections.abc import Callable
+from multiprocessing.connection import Connection
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+from gevent import monkey
+from gevent.hub import get_hub
+
+from siskinproxy.balancer.logs import EventLog
+from siskinproxy.balancer.packet_process import PacketProcess
+from siskinproxy.balancer.settings import InstanceSettings, read_settings
+from siskinproxy.measure.flow_samples import (
+    SampleFlows,
+    adopt_flows,
+    make_configuration,
+)
+
+__all__ = ('resident_bytes', 'run_bare_loop', 'run_packet_process')
+
+_READ: Final = 1
+_MAX_DATAGRAM_BYTES: Final = 65535
+_SOCKET_BUFFER_BYTES: Final = 4 * 1024 * 1024
+_BURST: Final = 128
+_SNAPSHOT_LIMIT_S: Final = 20.0
+_KEY: Final = slice(12, 24)
+
+
+def resident_bytes(pid: int | str = 'self') -> int:
+    """Return the resident memory of a process in bytes."""
+    status = Path(f'/proc/{pid}/status').read_text()
+    line = next(
+        found for found in status.splitlines() if found.startswith('VmRSS')
+    )
+    return int(line.split()[1]) * 1024
+
+
+def run_packet_process(
+    settings: str,
+    target_count: int,
+    flow_count: int,
+    pipe: Connection,
+) -> None:
+    """Serve as the packet process does, with flows that are open already.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the settings file.
+    target_count : int
+        Targets of the configuration that the control process sends.
+    flow_count : int
+        Home entries to adopt after the first snapshot.
+    pipe : Connection
+        Gets the memory for a flow in bytes when the flows are adopted, and
+        the counters at the end.
+    """
+    monkey.patch_all()
+    cfg = read_settings(settings, InstanceSettings)
+    process = PacketProcess(cfg, EventLog('packet'))
+    process.start()
+    stopped = _stop_on_sigterm()
+    _wait_for(lambda: process.engine.state.generation > 0)
+    before = resident_bytes()
+    flows = SampleFlows(make_configuration(target_count))
+    adopt_flows(process.engine, flows, flow_count)
+    pipe.send((resident_bytes() - before) / flow_count)
+    stopped.wait()
+    pipe.send(process.engine.counters().as_dict())
+    process.close()
+
+
+def run_bare_loop(
+    port: int,
+    target_count: int,
+    flow_count: int,
+    pipe: Connection,
+) -> None:
+    """Receive, look up the flow in a dictionary and send; nothing else.
+
+    Parameters
+    ----------
+    port : int
+        UDP port.
+    target_count : int
+        Targets of the configuration.
+    flow_count : int
+        Flows in the dictionary.
+    pipe : Connection
+        Gets 0 when the loop is ready, and an empty dictionary at the end.
+    """
+    monkey.patch_all()
+    cfg = make_configuration(target_count)
+    flows = SampleFlows(cfg)
+    addresses = [
+        (target.address, service.listeners[0].target_port)
+        for service in cfg.services
+        for target in service.targets
+    ]
+    table: dict[bytes, Any] = {
+        flows.entry(number).flow_key: addresses[number % target_count]
+        for number in range(flow_count)
+    }
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
+    sock.bind(('127.0.0.1', port))
+    stopped = _stop_on_sigterm()
+    gevent.spawn(_forward, sock, table, addresses)
+    pipe.send(0)
+    stopped.wait()
+    pipe.send({})
+
+
+def _forward(
+    sock: socket.socket,
+    table: dict[bytes, Any],
+    addresses: list[Any],
+) -> None:
+    hub = get_hub()
+    watcher = hub.loop.io(sock.fileno(), _READ)
+    while True:
+        hub.wait(watcher)
+        _forward_burst(sock, table, addresses)
+
+
+def _forward_burst(
+    sock: socket.socket,
+    table: dict[bytes, Any],
+    addresses: list[Any],
+) -> None:
+    recv, sendto = sock.recv, sock.sendto
+    count = len(addresses)
+    for _ in range(_BURST):
+        try:
+            datagram = recv(_MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return
+        key = datagram[_KEY]
+        address = table.get(key)
+        if address is None:
+            address = addresses[hash(key) % count]
+            table[key] = address
+        try:
+            sendto(datagram, address)
+        except OSError:
+            # TCP repeats the segment, as for the packet process.
+            address = None
+
+
+def _stop_on_sigterm() -> gevent.event.Event:
+    stopped = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, stopped.set)
+    return stopped
+
+
+def _wait_for(condition: Callable[[], bool]) -> None:
+    due_s = time.monotonic() + _SNAPSHOT_LIMIT_S
+    while not condition():
+        if time.monotonic() > due_s:
+            raise TimeoutError('no snapshot from the control process')
+        gevent.sleep(0.02)
