Find the route of a response before the tables of unknown flows

Cause: a response missed in five dictionaries before its source address was looked up, since its key is the one of the opposite direction. A segment to a listener is never taken for a response, as in _on_transition.

--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -135,20 +135,18 @@
             self._on_transition(segment, now_s)
             return
         key = segment[FLOW_KEY]
-        binding = (
-            state.streams.young.get(key)
-            or state.learned.young.get(key)
-            or state.home_binding(key)
-            or state.learned.old.get(key)
-        )
-        if binding is not None:
-            self._deliver(binding.route, segment)
-            return
-        route = state.routes.by_target.get(segment[12:16] + segment[20:22])
-        if route is None:
+        binding = state.streams.young.get(key) or state.learned.young.get(key)
+        if binding is None:
+            route = state.routes.by_target.get(segment[12:16] + segment[20:22])
+            destination = segment[16:20] + segment[22:24]
+            if route and destination not in state.routes.listeners:
+                self._answer(route, segment, now_s)
+                return
+            binding = state.home_binding(key) or state.learned.old.get(key)
+        if binding is None:
             self._relay_unknown(segment, key, 0)
             return
-        self._answer(route, segment, now_s)
+        self._deliver(binding.route, segment)
 
     def on_tunnel(self, datagram: bytes, now_s: float) -> None:
         """Handle a datagram from another instance."""
@@ -291,7 +289,7 @@
         """Send an answer to its caller and learn the flow from it."""
         state = self.state
         key = route.answer_key(segment)
-        home = state.home_binding(key)
+        home = state.streams.young.get(key) or state.home_binding(key)
         if home is not None:
             if home.route is not route:
                 state.counters.crossed += 1
