Use a plain socket on the packet path; report processor time in the benchmark

Cause: gevent's socket wraps recv and sendto in Python functions, although the socket never blocks. The outbox added another call. Ruled out: the size of the receive buffer (0.82 us with 2,048 bytes, 0.86 us with 65,535). Conclusion: kept; the bare loop of the benchmark gets the same socket.

Other processes slow the rounds down unevenly (load average 44 on 10 processors), so the benchmark also prints datagrams for each second of processor time.

--- a/siskinproxy/balancer/packet_process.py
+++ b/siskinproxy/balancer/packet_process.py
@@ -75,19 +75,22 @@
 
     def to_target(self, address: tuple[str, int], segment: bytes) -> None:
         """Send a segment to a target."""
-        self._send(segment, address)
+        try:
+            self._sendto(segment, address)
+        except OSError:
+            self.dropped += 1
 
     def to_caller(self, segment: bytes) -> None:
         """Send a segment to a caller by way of the fabric."""
-        self._send(segment, self._fabric)
+        try:
+            self._sendto(segment, self._fabric)
+        except OSError:
+            self.dropped += 1
 
     def to_instance(self, member: Member, datagram: bytes) -> None:
         """Send a tunnel datagram to another instance."""
-        self._send(datagram, (member.address, member.packet_port))
-
-    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
         try:
-            self._sendto(datagram, address)
+            self._sendto(datagram, (member.address, member.packet_port))
         except OSError:
             self.dropped += 1
 
@@ -109,7 +112,10 @@
         self._stopped = Event()
         self._received_s = time.monotonic()
         self._greenlets: list[gevent.Greenlet] = []
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        # The socket never blocks, so gevent's wrapper would only add a
+        # Python call to each datagram.
+        plain_socket = monkey.get_original('socket', 'socket')
+        self._sock = plain_socket(socket.AF_INET, socket.SOCK_DGRAM)
         identity = Member(
             cfg.instance.name,
             cfg.instance.zone,
--- a/siskinproxy/measure/bench.py
+++ b/siskinproxy/measure/bench.py
@@ -161,6 +161,7 @@
     bytes_per_flow: float
     pipe: Connection
     process: BaseProcess
+    bare_process: BaseProcess
 
 
 def _run_control_process(settings: str, pipe: Connection) -> None:
@@ -185,14 +186,14 @@
         running(run_packet_process, settings, TARGETS, FLOWS),
     )
     stack.enter_context(running(_run_control_process, settings))
-    _, ready = stack.enter_context(
+    bare, ready = stack.enter_context(
         running(run_bare_loop, ports[1], TARGETS, FLOWS),
     )
     for started in (pipe, ready):
         if not started.poll(_START_LIMIT_S):
             raise TimeoutError('a receiver did not start')
     ready.recv()
-    return _Relays(*ports, pipe.recv(), pipe, process)
+    return _Relays(*ports, pipe.recv(), pipe, process, bare)
 
 
 def _compare() -> tuple[list[RoundResult], list[RoundResult], float]:
@@ -205,12 +206,16 @@
         load = LoadGenerator(TARGETS, FLOWS, NEW_FLOWS_PER_S)
         stack.callback(load.close)
         # One short round each fills the caches and is not counted.
-        load.run_round(relay_port, ROUND_S / 3)
-        load.run_round(bare_port, ROUND_S / 3)
+        pids = relays.process.pid or 0, relays.bare_process.pid or 0
+        load.run_round(relay_port, pids[0], ROUND_S / 3)
+        load.run_round(bare_port, pids[1], ROUND_S / 3)
         for _ in range(ROUNDS):
-            relayed.append(load.run_round(relay_port, ROUND_S))
-            bare.append(load.run_round(bare_port, ROUND_S))
+            relayed.append(load.run_round(relay_port, pids[0], ROUND_S))
+            bare.append(load.run_round(bare_port, pids[1], ROUND_S))
             print(f'packet process {relayed[-1]}\nbare loop      {bare[-1]}')
+        print('datagrams per second of processor time:')
+        print('packet process', _per_cpu_s(relayed))
+        print('bare loop', _per_cpu_s(bare))
         relays.process.terminate()
         if relays.pipe.poll(_START_LIMIT_S):
             counters = relays.pipe.recv()
@@ -218,6 +223,11 @@
     return relayed, bare, relays.bytes_per_flow
 
 
+def _per_cpu_s(rounds: Iterable[RoundResult]) -> int:
+    rates = [turn.received / max(turn.cpu_s, 0.01) for turn in rounds]
+    return round(statistics.median(rates))
+
+
 def _bench(control_s: float = CONTROL_S) -> None:
     """Run the benchmark.
 
--- a/siskinproxy/measure/bench_load.py
+++ b/siskinproxy/measure/bench_load.py
@@ -1,10 +1,12 @@
 """Load for the benchmark: sends segments and counts what comes out."""
 
+import os
 import select
 import socket
 import time
 from collections import deque
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Final
 
 from siskinproxy.fabric.segments import FLAGS_OFFSET, SYN
@@ -16,7 +18,7 @@
     reset_of_syn,
 )
 
-__all__ = ('LoadGenerator', 'RoundResult')
+__all__ = ('LoadGenerator', 'RoundResult', 'processor_time_s')
 
 #: Datagrams in flight. A default socket buffer of 208 KiB holds about 500
 #: datagrams, so a window of half as many keeps the receiver busy without loss.
@@ -54,12 +56,15 @@
         New flows whose SYN came out.
     lost : int
         Datagrams that did not come out.
+    cpu_s : float
+        Processor time of the receiver in seconds.
     """
 
     duration_s: float
     received: int
     opened: int
     lost: int
+    cpu_s: float = 0.0
 
 
 class LoadGenerator:
@@ -96,13 +101,15 @@
         self._opened = 0
         self._lost = 0
 
-    def run_round(self, port: int, duration_s: float) -> RoundResult:
+    def run_round(self, port: int, pid: int, duration_s: float) -> RoundResult:
         """Load a receiver for some time.
 
         Parameters
         ----------
         port : int
             UDP port of the receiver.
+        pid : int
+            Process id of the receiver.
         duration_s : float
             Length of the round in seconds.
 
@@ -121,6 +128,7 @@
         size = len(self._bursts[0]) // BURST
         bulk.setsockopt(socket.IPPROTO_UDP, _UDP_SEGMENT, size)
         self._drain(single)
+        cpu_s = processor_time_s(pid)
         started_s = time.perf_counter()
         now_s = started_s
         due = started_s
@@ -135,7 +143,13 @@
             received += self._receive(single)
             now_s = time.perf_counter()
         elapsed_s = time.perf_counter() - started_s
-        result = RoundResult(elapsed_s, received, self._opened, self._lost)
+        result = RoundResult(
+            elapsed_s,
+            received,
+            self._opened,
+            self._lost,
+            processor_time_s(pid) - cpu_s,
+        )
         self._finish(single)
         single.close()
         bulk.close()
@@ -198,6 +212,12 @@
             self._sink.recv(2048)
 
 
+def processor_time_s(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+
 def _connect(port: int) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.connect((_LOOPBACK, port))
--- a/siskinproxy/measure/bench_relays.py
+++ b/siskinproxy/measure/bench_relays.py
@@ -106,7 +106,9 @@
         flows.entry(number).flow_key: addresses[number % target_count]
         for number in range(flow_count)
     }
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    # The same kind of socket as in the packet process.
+    plain_socket = monkey.get_original('socket', 'socket')
+    sock = plain_socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setblocking(False)
     for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
         sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
