Shorten the selection of a target and the look-up of single shards

Cause: in a profile of 3,000 openings the selection took 0.37 and the shard look-up 0.15 of 2.0 s; the latter runs nine times for a flow. Ruled out: the rewriting of the three segments (0.13 s).

--- a/siskinproxy/instances/placement.py
+++ b/siskinproxy/instances/placement.py
@@ -88,7 +88,7 @@
         are no homes.
     """
 
-    __slots__ = ('_homes', 'members', 'shard_counts')
+    __slots__ = ('_homes', '_single_shards', 'members', 'shard_counts')
 
     def __init__(
         self,
@@ -106,6 +106,13 @@
             service.name: shard_count(service)
             for service in configuration.services
         }
+        # Most services have one shard, which is looked up for each new flow
+        # several times.
+        self._single_shards = {
+            name: ShardKey(name, 0)
+            for name, count in self.shard_counts.items()
+            if count == 1
+        }
         self._homes: dict[ShardKey, tuple[Member, ...]] = {}
 
     def __eq__(self, other: object) -> bool:
@@ -126,6 +133,9 @@
 
     def shard_of(self, service: str, flow_key: bytes) -> ShardKey:
         """Return the shard of a flow under this view's shard counts."""
+        single = self._single_shards.get(service)
+        if single is not None:
+            return single
         count = self.shard_counts.get(service, 1)
         return shard_of_flow(service, flow_key, count)
 
--- a/siskinproxy/targets/occupancy.py
+++ b/siskinproxy/targets/occupancy.py
@@ -53,7 +53,8 @@
         float
             Sum of the time that each flow was in progress, in seconds.
         """
-        self._advance(now_s)
+        if now_s > self._updated_s:
+            self._advance(now_s)
         oldest_s = now_s - WINDOW_S
         samples = self._samples
         while len(samples) > 1 and samples[1][0] <= oldest_s:
--- a/siskinproxy/targets/selection.py
+++ b/siskinproxy/targets/selection.py
@@ -30,13 +30,15 @@
     float
         Seconds for each slot or connection.
     """
-    target = state.target
-    full = target.slots if mode == 'request' else target.connections
-    return state.occupancy(mode).busy_s(now_s) / max(full, 1)
+    if mode == 'request':
+        return state.requests.busy_s(now_s) / (state.target.slots or 1)
+    return state.streams.busy_s(now_s) / (state.target.connections or 1)
 
 
-def _utilization(state: TargetState, mode: Mode) -> float:
-    return state.occupancy(mode).count / state.limit(mode)
+def _utilizations(states: Sequence[TargetState], mode: Mode) -> list[float]:
+    if mode == 'request':
+        return [item.requests.count / item.request_limit for item in states]
+    return [item.streams.count / item.stream_limit for item in states]
 
 
 def select_target(
@@ -73,7 +75,7 @@
     tuple of TargetState and AdmittedReason
         Selected target and the rule that selected it.
     """
-    uses = [_utilization(state, mode) for state in candidates]
+    uses = _utilizations(candidates, mode)
     lowest = min(uses)
     tied = [
         (relative_busy_s(state, mode, now_s), rng.random(), state)
