--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -105,7 +105,8 @@
         self._refreshed_s = -math.inf
         self._completion_s = limits.default_completion_s
         self._completion_bound_s = limits.default_completion_s
-        self._mean_busy_s: dict[Mode, float] = {'request': 0, 'stream': 0}
+        # Computed when a flow needs it and valid until the next refresh.
+        self._mean_busy_s: dict[Mode, float] = {}
 
     def apply(
         self,
@@ -514,7 +515,7 @@
             candidates,
             mode,
             flow.ingress_zone,
-            self._mean_busy_s[mode],
+            self._mean_busy(mode, now_s),
             now_s,
             self._rng,
         )
@@ -690,9 +691,19 @@
             self._advance_warmup(state, now_s)
         warm = [item for item in serving if item.warmup is None]
         self._update_limits(warm, now_s)
-        for mode in self._mean_busy_s:
-            busy = (relative_busy_s(item, mode, now_s) for item in warm)
-            self._mean_busy_s[mode] = _mean(busy)
+        self._mean_busy_s.clear()
+
+    def _mean_busy(self, mode: Mode, now_s: float) -> float:
+        """Return the mean of `relative_busy_s` over the warm targets."""
+        mean_s = self._mean_busy_s.get(mode)
+        if mean_s is None:
+            mean_s = _mean(
+                relative_busy_s(item, mode, now_s)
+                for item in self._states.values()
+                if item.serves and item.warmup is None
+            )
+            self._mean_busy_s[mode] = mean_s
+        return mean_s
 
     def _update_completion(self) -> None:
         times = [
