--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -31,6 +31,7 @@
     'StoreRateLimitError',
     'StoreUnavailableError',
     'StoreValueSizeError',
+    'SubmissionFieldError',
     'SubmissionReusedError',
     'TunnelFormatError',
     'UnknownTargetError',
@@ -470,3 +471,23 @@
         super().__init__(f'region={found} expected={expected}')
         self.expected = expected
         self.found = found
+
+
+class SubmissionFieldError(ConfigurationError):
+    """A submission id or an operator's name is empty or too long.
+
+    Parameters
+    ----------
+    field : str
+        Name of the field.
+    length : int
+        Length that was found.
+    limit : int
+        Largest length.
+    """
+
+    def __init__(self, field: str, length: int, limit: int) -> None:
+        super().__init__(f'field={field} length={length} limit={limit}')
+        self.field = field
+        self.length = length
+        self.limit = limit
--- a/siskinproxy/store/submission.py
+++ b/siskinproxy/store/submission.py
@@ -20,6 +20,7 @@
     StoreOutcomeUnknownError,
     StoreRateLimitError,
     StoreUnavailableError,
+    SubmissionFieldError,
     SubmissionReusedError,
     WrongRegionError,
 )
@@ -62,8 +63,9 @@
 
 __all__ = ('submit',)
 
-#: Keeps the head small, whatever an operator changes at once.
+#: Keep the head small, whatever an operator submits.
 _MAX_SUMMARY_CHARS: Final = 300
+_MAX_FIELD_CHARS: Final = 64
 
 
 _DEFAULT_OPTIONS: Final = SubmitOptions()
@@ -163,6 +165,9 @@
 
     async def run(self) -> SubmissionResult:
         """Submit once; errors of the store that outlast the retries rise."""
+        malformed = self._check_fields()
+        if malformed:
+            return Rejected(malformed, 'invalid')
         version, head = await self._retry(self._read_head)
         settled = await self._settle(head)
         if settled is not None:
@@ -185,6 +190,21 @@
         entry = self._entry(previous, cfg)
         return next_head(head, digests, self._req.fingerprint, entry)
 
+    def _check_fields(self) -> tuple[SubmissionFieldError, ...]:
+        """Check the fields that the head repeats.
+
+        An empty id would be shared by all submitters that forget to set it.
+        """
+        named = {
+            'submission_id': self._req.submission_id,
+            'operator': self._req.operator,
+        }
+        return tuple(
+            SubmissionFieldError(name, len(text), _MAX_FIELD_CHARS)
+            for name, text in named.items()
+            if not 0 < len(text) <= _MAX_FIELD_CHARS
+        )
+
     async def _read_head(self) -> tuple[int, Head]:
         region = self._req.region
         stored = await self._client.get(head_key(region))
--- a/siskinproxy/store/tests/test_submission.py
+++ b/siskinproxy/store/tests/test_submission.py
@@ -309,6 +309,30 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize(
+    ('submission_id', 'operator', 'fields'),
+    [
+        ('', 'ines', ['submission_id']),
+        ('x' * 65, 'ines', ['submission_id']),
+        ('x', '', ['operator']),
+        ('', 'x' * 65, ['submission_id', 'operator']),
+    ],
+)
+def test_malformed_fields_are_rejected(submission_id, operator, fields):
+    """Guards against ids shared by accident and heads that grow."""
+
+    async def scenario():
+        client = FakeKeyValueClient(MemoryStore())
+        outcome = await submit(
+            client, REGION, FIRST, 0, submission_id, operator, 0, options()
+        )
+        assert outcome.reason == 'invalid'
+        assert [error.field for error in outcome.errors] == fields
+        assert not client.log
+
+    run_virtual(scenario())
+
+
 def test_wrong_region_is_rejected():
     """Guards against a configuration that replaces another region's."""
 
