--- a/siskinproxy/operators/admin_client.py
+++ b/siskinproxy/operators/admin_client.py
@@ -21,8 +21,13 @@
 
 __all__ = ('AdminClient',)
 
-#: Longer than the time for which an instance retries calls to the store.
-CALL_TIMEOUT_S: Final = 20.0
+#: Longer than the time for which an instance retries a change in the store.
+CHANGE_TIMEOUT_S: Final = 20.0
+
+READ_TIMEOUT_S: Final = 5.0
+
+#: An endpoint in a zone without connection does not refuse, it is silent.
+CONNECT_TIMEOUT_S: Final = 2.0
 
 #: Time by which a watch may exceed its own timeout.
 _WATCH_MARGIN_S: Final = 5.0
@@ -59,19 +64,15 @@
         Address and port of control processes, in the order of preference.
     token : str
         Token of the settings of the instances.
-    call_timeout_s : float
-        Time limit of each call to one endpoint.
     """
 
     def __init__(
         self,
         endpoints: Sequence[tuple[str, int]],
         token: str,
-        call_timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         self._endpoints = tuple(endpoints)
         self._metadata = {_TOKEN_METADATA: token.encode()} if token else {}
-        self._call_timeout_s = call_timeout_s
 
     async def read(self, method: str, req: Any) -> Any:
         """Call a method that changes nothing.
@@ -102,7 +103,12 @@
         while remaining:
             endpoint = remaining.pop(0)
             try:
-                return await self._call(endpoint, method, req)
+                return await self._call(
+                    endpoint,
+                    method,
+                    req,
+                    READ_TIMEOUT_S,
+                )
             except (_SentError, AdminUnreachableError) as exc:
                 failures.append(_failure(endpoint, exc))
         raise AdminUnreachableError(_joined(failures))
@@ -145,7 +151,12 @@
             if len(failures) >= len(self._endpoints) and not is_open:
                 break
             try:
-                response = await self._call(endpoint, method, req)
+                response = await self._call(
+                    endpoint,
+                    method,
+                    req,
+                    CHANGE_TIMEOUT_S,
+                )
             except AdminError as exc:
                 if not is_open and not isinstance(exc, _RETRIED):
                     raise
@@ -208,6 +219,8 @@
         )
         try:
             async with opened as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_request()
                 await stream.send_message(req, end=True)
                 async for progress in stream:
                     yield progress
@@ -223,11 +236,12 @@
         endpoint: tuple[str, int],
         method: str,
         req: Any,
+        timeout_s: float,
     ) -> Any:
         channel = Channel(*endpoint)
         exchange = _Exchange(
             getattr(AdministrationStub(channel), method),
-            self._call_timeout_s,
+            timeout_s,
             self._metadata,
         )
         try:
@@ -268,7 +282,8 @@
         async with opened as stream:
             # Connects and sends the headers. The endpoint executes nothing
             # before it has the message.
-            await stream.send_request()
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.send_request()
             self.sent = True
             await stream.send_message(req, end=True)
             response = await stream.recv_message()
--- a/siskinproxy/operators/tests/test_ctl.py
+++ b/siskinproxy/operators/tests/test_ctl.py
@@ -1,4 +1,8 @@
+import contextlib
 import json
+import socket
+import threading
+import time
 
 import fire
 import pytest
@@ -6,6 +10,7 @@
 
 from siskinproxy.balancer.settings import run_or_exit
 from siskinproxy.operators import (
+    admin_client,
     with_target_draining,
     with_zone_in_service,
 )
@@ -157,6 +162,69 @@
     assert started(*command, endpoints=both) == 0, started.err
 
 
+@contextlib.contextmanager
+def _closing_endpoint():
+    """Yield an endpoint that closes each connection after the request."""
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+
+        def serve():
+            with contextlib.suppress(OSError):
+                while True:
+                    conn, _ = listening.accept()
+                    conn.settimeout(0.1)
+                    with contextlib.suppress(TimeoutError):
+                        while conn.recv(65536):
+                            continue
+                    conn.close()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        yield f'127.0.0.1:{listening.getsockname()[1]}'
+        listening.shutdown(socket.SHUT_RDWR)
+        thread.join(5)
+
+
+@contextlib.contextmanager
+def _silent_endpoint():
+    """Yield an endpoint that does not answer attempts to connect."""
+    with contextlib.ExitStack() as stack:
+        listening = socket.socket()
+        stack.enter_context(listening)
+        listening.bind(('127.0.0.1', 0))
+        listening.listen(0)
+        # Fills the backlog; the kernel ignores further attempts.
+        for _ in range(4):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listening.getsockname())
+        yield f'127.0.0.1:{listening.getsockname()[1]}'
+
+
+@_commands(ALL)
+def test_connection_closed_after_the_request(started, command):
+    """Guards against calling a request that was sent a failed one."""
+    if command[0] == 'submit':
+        # Without a base the tool reads before it submits.
+        command = [*command, '--base=1']
+    with _closing_endpoint() as closing:
+        expected = 5 if command[0] in CHANGES else 6
+        assert started(*command, endpoints=closing) == expected
+        both = f'{closing},{started.region.endpoint}'
+        assert started(*command, endpoints=both) == 0, started.err
+
+
+@_commands(ALL)
+def test_silent_endpoint(started, command, monkeypatch):
+    """Guards against a command that hangs at an endpoint behind a partition."""
+    monkeypatch.setattr(admin_client, 'CONNECT_TIMEOUT_S', 0.2)
+    with _silent_endpoint() as silent:
+        started_s = time.monotonic()
+        assert started(*command, endpoints=silent) == 6
+        both = f'{silent},{started.region.endpoint}'
+        assert started(*command, endpoints=both) == 0, started.err
+        assert time.monotonic() - started_s < 4
+
+
 @_commands({**CHANGES, **READS_OF_STORE})
 def test_store_outage(started, command):
     """Guards against an effect or a false outcome during an outage."""
