--- a/siskinproxy/standins/tests/test_processes.py
+++ b/siskinproxy/standins/tests/test_processes.py
@@ -86,8 +86,8 @@
 class Run:
     """Deployment under load."""
 
-    def __init__(self, directory: Path) -> None:
-        cfg = shorten_warmup(CONFIGURATION, 2)
+    def __init__(self, directory: Path, warmup_s: float) -> None:
+        cfg = shorten_warmup(CONFIGURATION, warmup_s)
         self.deployment = Deployment(cfg, directory)
         self.abandoned = {}
 
@@ -151,8 +151,8 @@
 
 
 @contextmanager
-def running(directory):
-    run = Run(directory)
+def running(directory, warmup_s=2):
+    run = Run(directory, warmup_s)
     try:
         run.start()
         yield run
@@ -264,9 +264,9 @@
     """Guards against flows that end although their target stays in service.
 
     The targets of the zone return cold, so this also guards the warm-up
-    limit.
+    limit. The warm-up outlasts the 2 s for which a new owner halves limits.
     """
-    with running(tmp_path) as run:
+    with running(tmp_path, warmup_s=4) as run:
         deployment = run.deployment
         for zone in 'bc':
             targets = [
