--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -113,7 +113,8 @@
         self._completion_s = limits.default_completion_s
         self._common_cause_until_s = -math.inf
         self._completion_bound_s = limits.default_completion_s
-        self._mean_busy_s: dict[Mode, float] = {'request': 0, 'stream': 0}
+        # Computed when a flow needs it and valid until the next refresh.
+        self._mean_busy_s: dict[Mode, float] = {}
 
     def apply(
         self,
@@ -269,6 +270,24 @@
         record.restored = True
         self._add(record, now_s)
 
+    def restore_streams(
+        self, target_name: str, count: int, now_s: float
+    ) -> None:
+        """Count flows in mode ``stream`` that another owner admitted.
+
+        Parameters
+        ----------
+        target_name : str
+            Target of the flows.
+        count : int
+            Number of flows, none of which this owner knows yet.
+        now_s : float
+            Current time in seconds.
+        """
+        state = self._states.get(target_name)
+        if state is not None and not state.out_of_service:
+            state.streams.change(count, now_s)
+
     def accepted(self, key: bytes, now_s: float) -> None:
         """Note that the target accepted the opening segment.
 
@@ -543,7 +562,7 @@
             candidates,
             mode,
             flow.ingress_zone,
-            self._mean_busy_s[mode],
+            self._mean_busy(mode, now_s),
             now_s,
             self._rng,
         )
@@ -745,9 +764,19 @@
             self._advance_warmup(state, now_s)
         warm = [item for item in serving if item.warmup is None]
         self._update_limits(warm, now_s)
-        for mode in self._mean_busy_s:
-            busy = (relative_busy_s(item, mode, now_s) for item in warm)
-            self._mean_busy_s[mode] = _mean(busy)
+        self._mean_busy_s.clear()
+
+    def _mean_busy(self, mode: Mode, now_s: float) -> float:
+        """Return the mean of `relative_busy_s` over the warm targets."""
+        mean_s = self._mean_busy_s.get(mode)
+        if mean_s is None:
+            mean_s = _mean(
+                relative_busy_s(item, mode, now_s)
+                for item in self._states.values()
+                if item.serves and item.warmup is None
+            )
+            self._mean_busy_s[mode] = mean_s
+        return mean_s
 
     def _update_completion(self) -> None:
         times = [
