Hand warm-ups over to the next owner; keep returning targets cold

Cause 1: a new owner took all targets as warm. Cause 2: a target that waits for its activation was listed in the service before it reached the shard, so the admission took it for one that another shard had served. Cause 3: an entry of a flow that was still opening at a revoked target made an instance reset a flow that the owner had opened elsewhere since.

Ruled out: a lost hand-over (the admission of the same owner showed the zone's targets as warm at their activation in a trace).

Change: owners report running warm-ups to the homes and to the next owner; targets that may not get flows yet are not part of the service that an admission sees; revoked entries in the opening state are dropped.

--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -11,7 +11,7 @@
 from siskinproxy.balancer.routes import Route
 from siskinproxy.balancer.settings import Limits
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
-from siskinproxy.callers.flow_table import FlowState
+from siskinproxy.callers.flow_table import Binding, FlowState
 from siskinproxy.errors import SiskinproxyError, TunnelFormatError
 from siskinproxy.fabric.segments import (
     FIN,
@@ -82,6 +82,7 @@
             Kind.HELLO: self._on_hello,
             Kind.LOOKUP: self.opener.on_lookup,
             Kind.FRESH: self.opener.on_fresh,
+            Kind.WARM_UP: self._on_warm_up,
         }
 
     def counters(self) -> Counters:
@@ -146,7 +147,7 @@
         if binding is None:
             self._relay_unknown(segment, key, 0)
             return
-        self._deliver(binding.route, segment)
+        self._deliver(binding, segment)
 
     def on_tunnel(self, datagram: bytes, now_s: float) -> None:
         """Handle a datagram from another instance."""
@@ -157,7 +158,7 @@
             return
         self._note_sender(header, now_s)
         handler = self._handlers.get(header.kind)
-        needs_segment = header.kind not in {Kind.COPY, Kind.HELLO}
+        needs_segment = header.kind not in {Kind.COPY, Kind.HELLO, Kind.WARM_UP}
         if handler is None or (needs_segment and not is_ipv4_tcp(body)):
             self.state.counters.malformed += 1
             return
@@ -200,7 +201,7 @@
         key = segment[FLOW_KEY]
         binding = state.binding(key)
         if binding is not None:
-            self._deliver(binding.route, segment)
+            self._deliver(binding, segment)
             service = binding.route.listener.service
             self.closer.publish(service, key, segment, now_s)
         elif listener is None:
@@ -209,17 +210,16 @@
             self._relay_unknown(segment, key, 0)
             self.closer.publish(listener.service, key, segment, now_s)
 
-    def _deliver(self, route: Route, segment: bytes) -> None:
+    def _deliver(self, binding: Binding, segment: bytes) -> None:
         """Send a segment of a known flow to its target."""
         state = self.state
+        route = binding.route
         if segment[16:20] + segment[22:24] != route.listener.endpoint:
             # service_isolation: the entry belongs to another listener.
             state.counters.violations += 1
             return
         if not route.is_allowed:
-            state.counters.revoked += 1
-            if not segment[FLAGS_OFFSET] & RST:
-                state.outbox.to_caller(build_abort(segment))
+            self._on_revoked(binding, segment)
             return
         if not route.is_reachable:
             state.counters.unreachable += 1
@@ -230,6 +230,19 @@
             translate_destination(segment, route.to_target),
         )
 
+    def _on_revoked(self, binding: Binding, segment: bytes) -> None:
+        """Handle a segment whose target may get no more segments."""
+        state = self.state
+        if binding.state is FlowState.OPENING:
+            # The owner may have opened the flow at another target since.
+            key = segment[FLOW_KEY]
+            state.table_of(binding.route).pop(key)
+            self._relay_unknown(segment, key, 0)
+            return
+        state.counters.revoked += 1
+        if not segment[FLAGS_OFFSET] & RST:
+            state.outbox.to_caller(build_abort(segment))
+
     def _relay_unknown(self, segment: bytes, key: bytes, hops: int) -> None:
         """Pass a segment on to the next home that may know its flow."""
         state = self.state
@@ -280,7 +293,7 @@
         if binding is None:
             self._relay_unknown(segment, key, header.position + 1)
             return
-        self._deliver(binding.route, segment)
+        self._deliver(binding, segment)
         sender = state.peers.get(header.sender)
         if header.position and sender is not None:
             # The sender is a home without the entry.
@@ -293,6 +306,10 @@
         state = self.state
         key = route.answer_key(segment)
         home = state.streams.young.get(key) or state.home_binding(key)
+        if home is not None and not home.route.is_allowed:
+            # An entry from before its zone was taken out of service.
+            state.table_of(home.route).pop(key)
+            home = None
         if home is not None:
             if home.route is not route:
                 state.counters.crossed += 1
@@ -426,6 +443,12 @@
     ) -> None:
         """Nothing to do; the sender was noted before."""
 
+    def _on_warm_up(
+        self, header: TunnelHeader, body: bytes, now_s: float
+    ) -> None:
+        admissions = self.opener.admissions
+        self.opener.warmups.on_report(body, admissions, now_s)
+
     def _on_copy(self, header: TunnelHeader, body: bytes, now_s: float) -> None:
         self.copier.on_copy(body, now_s)
 
--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -5,10 +5,13 @@
 from functools import singledispatchmethod
 from typing import Final
 
+import msgspec
+
 from siskinproxy.balancer.engine_state import SUSPECT_S, EngineState
 from siskinproxy.balancer.routes import ListenerState, Route
 from siskinproxy.balancer.shard_restore import restore_shards
 from siskinproxy.balancer.snapshot import Member
+from siskinproxy.balancer.warmup_handover import WarmupHandover
 from siskinproxy.callers.flow_table import Binding, FlowState
 from siskinproxy.callers.requests import (
     Admitted,
@@ -38,6 +41,7 @@
     encode_entries,
     member_id,
 )
+from siskinproxy.operators.configuration import Service, Target
 from siskinproxy.targets.admission import ShardAdmission
 from siskinproxy.targets.limits import AdmissionLimits
 
@@ -106,11 +110,13 @@
         '_state',
         '_unacknowledged',
         'admissions',
+        'warmups',
     )
 
     def __init__(self, state: EngineState) -> None:
         self._state = state
         self.admissions: dict[ShardKey, ShardAdmission] = {}
+        self.warmups = WarmupHandover(state)
         self._openings: dict[bytes, _Opening] = {}
         self._seen_s: dict[str, float] = {}
         self._activated = 0
@@ -134,7 +140,7 @@
             shard for shard in state.views.current.shards() if self._owns(shard)
         }
         for lost in set(self.admissions) - owned:
-            del self.admissions[lost]
+            self._give_up(lost, now_s)
         self._apply_shards(sorted(owned), now_s)
         self._forward_lost(now_s)
 
@@ -176,6 +182,7 @@
                 opening = self._openings.get(key)
                 if opening is not None:
                     self._carry_out(decision, key, opening, now_s)
+        self.warmups.publish(self.admissions, now_s)
         self._expire(now_s)
 
     # Segments
@@ -218,7 +225,8 @@
         key = segment[FLOW_KEY]
         listener = self._listener(segment)
         if listener is not None:
-            self._cede(self._state.shard(listener.service, key), sender)
+            shard = self._state.shard(listener.service, key)
+            self._cede(shard, sender, now_s)
         binding = self._state.home_binding(key)
         if binding is None or not _is_live(binding):
             self._state.send(sender, Kind.FRESH, segment, flags=header.flags)
@@ -504,16 +512,30 @@
             self._state.send(owner, Kind.COPY, encode_entries(batch))
         self._forward_lost(now_s)
 
-    def _cede(self, shard: ShardKey, sender: Member) -> None:
+    def _cede(self, shard: ShardKey, sender: Member, now_s: float) -> None:
         """Leave a shard to the instance that asks about its flows."""
         homes = self._state.shard_homes(shard)
         is_home = any(home.name == sender.name for home in homes)
         if shard not in self.admissions or not is_home:
             return
-        self.admissions.pop(shard)
+        self._give_up(shard, now_s)
         self._deputized.pop(shard, None)
         self._ceded[shard] = sender
 
+    def _give_up(self, shard: ShardKey, now_s: float) -> None:
+        admission = self.admissions.pop(shard)
+        limit_s = now_s - TARGET_ACTIVATION_S
+        inactive = frozenset(
+            name for name, seen_s in self._seen_s.items() if seen_s > limit_s
+        )
+        service = self._state.routes.services.get(shard.service)
+        if service is not None:
+            names = {
+                target.name for target in targets_of_shard(service, shard.index)
+            }
+            inactive &= names
+            self.warmups.hand_over(shard, admission, inactive, now_s)
+
     def _open_or_look_up(
         self,
         key: bytes,
@@ -763,27 +785,48 @@
     def _apply_shards(self, shards: list[ShardKey], now_s: float) -> None:
         """Apply targets to shards, and count the flows of new ones."""
         taken_over = set(shards) - set(self.admissions)
+        services = {name: self._active_part(name, now_s) for name, _ in shards}
         for shard in shards:
-            self._apply_shard(shard, now_s)
+            self._apply_shard(shard, services[shard.service], now_s)
         if taken_over:
             restored = {new: self.admissions[new] for new in taken_over}
             restore_shards(self._state, restored, now_s)
 
-    def _apply_shard(self, shard: ShardKey, now_s: float) -> None:
-        state = self._state
-        service = state.routes.services[shard.service]
+    def _active_part(self, name: str, now_s: float) -> Service:
+        """Return a service without targets that may not get flows yet."""
+        service = self._state.routes.services[name]
+        active = tuple(
+            target
+            for target in service.targets
+            if self._is_active(target, now_s)
+        )
+        return msgspec.structs.replace(service, targets=active)
+
+    def _is_active(self, target: Target, now_s: float) -> bool:
+        if target.zone in self._state.routes.zones_out:
+            return True
+        seen_s = self._seen_s.get(target.name, now_s)
+        return now_s - seen_s >= TARGET_ACTIVATION_S
+
+    def _apply_shard(
+        self, shard: ShardKey, active: Service, now_s: float
+    ) -> None:
+        routes = self._state.routes
         admission = self.admissions.get(shard)
+        is_new = admission is None
         if admission is None:
             admission = self._create_admission(shard, now_s)
             self.admissions[shard] = admission
-        limit_s = now_s - TARGET_ACTIVATION_S
+        declared = targets_of_shard(
+            routes.services[shard.service],
+            shard.index,
+        )
         targets = tuple(
-            target
-            for target in targets_of_shard(service, shard.index)
-            if target.zone in state.routes.zones_out
-            or self._seen_s.get(target.name, now_s) <= limit_s
+            target for target in declared if self._is_active(target, now_s)
         )
-        admission.apply(service, targets, state.routes.zones_out, now_s)
+        admission.apply(active, targets, routes.zones_out, now_s)
+        if is_new:
+            self.warmups.note_created(shard, admission, now_s)
 
     def _create_admission(
         self, shard: ShardKey, now_s: float
--- a/siskinproxy/instances/tunnel.py
+++ b/siskinproxy/instances/tunnel.py
@@ -57,6 +57,8 @@
     LOOKUP = 8
     #: A SYN of which the earlier owner has no entry.
     FRESH = 9
+    #: Targets of a shard that warm up, for its homes.
+    WARM_UP = 10
 
 
 class TunnelHeader(NamedTuple):
--- a/siskinproxy/measure/experiment.py
+++ b/siskinproxy/measure/experiment.py
@@ -34,6 +34,7 @@
     """Long flow and whether the zone of its target was taken out."""
 
     flow: StreamFlow
+    local: Endpoint
     was_given_up: bool = False
 
 
@@ -150,7 +151,7 @@
             self.rng.getrandbits(32),
             listener.deadline_ms / _MS_PER_S * 2,
         )
-        record = StreamRecord(flow)
+        record = StreamRecord(flow, local)
         self.streams.append(record)
         world.start_flow(local, flow)
         ends_s = world.now_s + self.rng.uniform(5, 40)
@@ -302,6 +303,12 @@
 
     # Changes
 
+    def give_up_streams(self, zone: str) -> None:
+        """Take the long flows to targets of a zone as given up."""
+        for record in self.streams:
+            if self.world.opened_in.get(record.local) == zone:
+                record.was_given_up = True
+
     def change_target(self, name: str, **changes: object) -> None:
         """Put a configuration with a changed target in force."""
         self.world.configure(replace_target(self.world.cfg, name, **changes))
--- a/siskinproxy/measure/world.py
+++ b/siskinproxy/measure/world.py
@@ -19,6 +19,7 @@
 from siskinproxy.fabric.segments import (
     FLAGS_OFFSET,
     RST,
+    SYN,
     Endpoint,
     build_abort,
     unpack_endpoint,
@@ -175,6 +176,8 @@
         self.targets: dict[str, TargetServer] = {}
         self.former_targets: list[TargetServer] = []
         self.target_zones: dict[str, str] = {}
+        #: Zone of the target that got the last SYN of a caller's endpoint.
+        self.opened_in: dict[Endpoint, str] = {}
         self.callers: dict[Endpoint, RequestFlow | StreamFlow] = {}
         self.fabric: list[str] = []
         self.members: tuple[Member, ...] = ()
@@ -475,6 +478,9 @@
         if server is None:
             return
         self._note(b'target', segment)
+        if segment[FLAGS_OFFSET] & SYN:
+            source = unpack_endpoint(segment[12:16] + segment[20:22])
+            self.opened_in[source] = self.target_zones[address[0]]
         packets = server.on_datagram(address[1], segment, self.now_s)
         self._send_from_target(address[0], packets)
         self._follow_target(address[0])
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -181,6 +181,27 @@
             self._reachable_zones = reachable_zones
             self._requeue_undelivered(now_s)
 
+    def resume_warmup(
+        self, target_name: str, fraction: float, now_s: float
+    ) -> None:
+        """Continue the warm-up that another owner has begun.
+
+        Parameters
+        ----------
+        target_name : str
+            The target; nothing happens if it warms up already.
+        fraction : float
+            Share of the full load that the other owner granted.
+        now_s : float
+            Current time in seconds.
+        """
+        state = self._states.get(target_name)
+        if state is None or not state.serves or state.warmup is not None:
+            return
+        state.begin_warmup(ColdStartReason.ANNOUNCED, now_s)
+        state.warmup.skip_to(fraction)
+        self._refresh(now_s)
+
     def open(
         self,
         key: bytes,
--- a/siskinproxy/targets/warmup.py
+++ b/siskinproxy/targets/warmup.py
@@ -45,6 +45,18 @@
         progress = self._progress_s / self._warmup_s
         return START_FRACTION + (1 - START_FRACTION) * progress
 
+    def skip_to(self, fraction: float) -> None:
+        """Move the ramp forward to a share of the full load.
+
+        Parameters
+        ----------
+        fraction : float
+            Value of `fraction` at the owner that began the warm-up.
+        """
+        progress = (fraction - START_FRACTION) / (1 - START_FRACTION)
+        reached_s = max(progress, 0) * self._warmup_s
+        self._progress_s = max(self._progress_s, reached_s)
+
     def advance(self, now_s: float, *, hold: bool) -> None:
         """Move the ramp forward.
 
