--- a/siskinproxy/measure/tests/test_admission_rounds.py
+++ b/siskinproxy/measure/tests/test_admission_rounds.py
@@ -7,6 +7,7 @@
     Action,
     Scenario,
 )
+from siskinproxy.targets.warmup import WarmUp
 
 SHORT = Scenario('short', (Action(3, 'restart', 'target-1'),), measured_s=15)
 
@@ -19,3 +20,30 @@
     assert msgspec.json.encode(first) == msgspec.json.encode(again)
     other = measure(DEPLOYMENTS[0], SHORT, policy, 6)
     assert other.log_digest != first.log_digest
+
+
+RETURN = Scenario(
+    'return',
+    (Action(2, 'zone_out', 'b'), Action(8, 'zone_in', 'b')),
+    measured_s=20,
+)
+
+
+@pytest.mark.parametrize('deployment', DEPLOYMENTS[:2], ids=['desk', 'status'])
+def test_announced_cold_starts_get_no_more_than_they_can_handle(deployment):
+    """Guards against the warmup_limit invariant and slots being exceeded."""
+    result = measure(deployment, RETURN, 'owner', 3)
+    assert result.warmup_overruns == 0
+    assert result.slot_overruns == 0
+    assert result.falls == 0
+    assert result.served_share > 0.99
+    assert result.imbalance_max <= 1.3
+
+
+def test_broken_warm_up_limit_is_detected(monkeypatch):
+    """Guards against a measurement that cannot see an exceeded warm-up."""
+    monkeypatch.setattr(WarmUp, 'limit', lambda self, full: int(full))
+    monkeypatch.setattr(WarmUp, 'may_start', lambda self, now_s: True)
+    result = measure(DEPLOYMENTS[0], RETURN, 'owner', 3)
+    assert result.warmup_overruns > 0
+    assert result.falls > 0
