--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -688,6 +688,10 @@
 
     def _check_cold_start(self, state: TargetState, now_s: float) -> None:
         evidence = state.evidence
+        if evidence.cold_start(1) is None:
+            # The slowdown of the peers can only raise the threshold, so most
+            # calls need not determine it.
+            return
         reason = evidence.cold_start(self._peer_slowdown(state))
         if reason is ColdStartReason.SLOW_COMPLETIONS and state.warmup:
             return
