Require three requests to infer a cold start from their ages

Ruled out: false alarms by completion times (none in the trace). Two requests still restrict the target to a probe, but start no warm-up.

--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -29,7 +29,6 @@
 from siskinproxy.targets.limits import AdmissionLimits
 from siskinproxy.targets.selection import relative_busy_s, select_target
 from siskinproxy.targets.target_state import (
-    STALL_COLD_FACTOR,
     FlowRecord,
     Mode,
     TargetReport,
@@ -751,7 +750,7 @@
             levels = [0] * len(levels)
         for state, level in zip(serving, levels, strict=True):
             state.set_stalled(level >= 1, now_s)
-            if level >= STALL_COLD_FACTOR and state.warmup is None:
+            if state.is_cold(level) and state.warmup is None:
                 state.begin_warmup(ColdStartReason.STALLED, now_s)
 
     def _advance_warmup(self, state: TargetState, now_s: float) -> None:
--- a/siskinproxy/targets/target_state.py
+++ b/siskinproxy/targets/target_state.py
@@ -40,6 +40,10 @@
 #: Completion time relative to the baseline below which a request shows that
 #: its target is not stalled.
 NORMAL_FACTOR: Final = 2.0
+#: Requests in progress from which on their ages can show a cold start. Two
+#: slow requests at the same time fill a target with two slots, so that no
+#: other request can show that it works.
+STALL_COLD_REQUESTS: Final = 3
 #: Multiple of the stall threshold that counts as a cold start.
 STALL_COLD_FACTOR: Final = 2.0
 
@@ -346,6 +350,22 @@
         threshold = STALL_FACTOR * (1 + STALL_MARGIN / len(ages))
         return statistics.median_low(ages) / threshold
 
+    def is_cold(self, stall_level: float) -> bool:
+        """Return whether the ages of the requests show a cold start.
+
+        Parameters
+        ----------
+        stall_level : float
+            Result of `stall_level`.
+
+        Returns
+        -------
+        bool
+            True if at least three requests are far above the threshold.
+        """
+        enough = len(self.flows) >= STALL_COLD_REQUESTS
+        return enough and stall_level >= STALL_COLD_FACTOR
+
     def set_stalled(self, stalled: bool, now_s: float) -> None:
         """Restrict the target to one probe while its requests are stalled.
 
