--- a/siskinproxy/balancer/control_engine.py
+++ b/siskinproxy/balancer/control_engine.py
@@ -29,6 +29,8 @@
 from siskinproxy.instances.gossip import (
     HEAD_DIGEST_BYTES,
     UDP_OVERHEAD_BYTES,
+    Header,
+    Record,
     decode_message,
     encode_message,
 )
@@ -37,6 +39,7 @@
 from siskinproxy.instances.probes import Address
 from siskinproxy.instances.reachability import REACHABLE_S
 from siskinproxy.operators.configuration import Configuration
+from siskinproxy.operators.progress import InstanceState
 
 __all__ = (
     'ConfigurationCodec',
@@ -148,6 +151,8 @@
         self.traffic: Counter[str] = Counter()
         self._codec = codec
         self._packet_connected = False
+        #: Incarnation and generation in the last message of each instance.
+        self._stated: dict[str, tuple[int, int]] = {}
         self._snapshot_wanted = False
         self._datagrams: list[Datagram] = []
         self._events: list[ControlEvent] = []
@@ -175,6 +180,7 @@
             self.traffic['malformed_messages'] += 1
             self._event('malformed_datagram', error=str(exc))
             return self._finish()
+        self._note_generation(message.header)
         step = self.membership.on_message(message, now_s)
         steady_s = self.membership.steady_s(now_s)
         if not isinstance(message, TRANSFER_KINDS):
@@ -216,6 +222,7 @@
         self,
         head: bytes,
         sections: Mapping[bytes, bytes],
+        read_s: float,
         now_s: float,
     ) -> ControlStep:
         """Apply a configuration that was read from the store.
@@ -226,8 +233,10 @@
             Value of the head key.
         sections : mapping of bytes to bytes
             Encoded sections by digest.
+        read_s : float
+            Time at which the store held this head at the earliest.
         now_s : float
-            Time at which the read was sent.
+            Time.
 
         Returns
         -------
@@ -249,21 +258,21 @@
         )
         self._put_into_force(candidate, head, sections, now_s)
         if generation >= self.configuration.generation:
-            self.membership.note_store_read(now_s)
+            self.membership.note_store_read(read_s)
         return self._finish()
 
-    def note_store_read(self, generation: int, now_s: float) -> None:
+    def note_store_read(self, generation: int, read_s: float) -> None:
         """Note that a generation was still the one of the store.
 
         Parameters
         ----------
         generation : int
             Generation that the store holds.
-        now_s : float
-            Time at which the read was sent.
+        read_s : float
+            Time of the read.
         """
         if generation <= self.configuration.generation:
-            self.membership.note_store_read(now_s)
+            self.membership.note_store_read(read_s)
 
     def set_packet_connected(
         self,
@@ -311,6 +320,41 @@
             current.provisional,
         )
 
+    def instances(self) -> tuple[InstanceState, ...]:
+        """Return each known instance with the generation that it stated."""
+        own = self.membership.record
+        found = [
+            InstanceState(
+                own.name,
+                own.zone,
+                own.status,
+                self.configuration.generation,
+            ),
+        ]
+        for name, state in self.membership.states().items():
+            entry = self.membership.entry(name)
+            if entry is not None and name != own.name:
+                zone = entry.record.zone
+                generation = self._generation_of(entry.record)
+                found.append(InstanceState(name, zone, state, generation))
+        # Names of instances that were replaced long ago.
+        known = {instance.name for instance in found}
+        for name in self._stated.keys() - known:
+            self._stated.pop(name)
+        return tuple(found)
+
+    def _note_generation(self, header: Header) -> None:
+        record = header.record
+        before = self._stated.get(record.name, (0, 0))
+        stated = (record.incarnation, header.generation)
+        # Messages may arrive in another order than they were sent.
+        self._stated[record.name] = max(before, stated)
+
+    def _generation_of(self, record: Record) -> int:
+        incarnation, generation = self._stated.get(record.name, (0, 0))
+        # A restarted instance has lost the configuration that it stated.
+        return generation if incarnation >= record.incarnation else 0
+
     def keepalive(self, now_s: float) -> Keepalive:
         """Return the message for the packet process between snapshots."""
         generation = self.configuration.generation
--- a/siskinproxy/balancer/control_process.py
+++ b/siskinproxy/balancer/control_process.py
@@ -1,9 +1,11 @@
 """Control process of an instance: sockets and timers around the engine."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import time
+from collections import Counter
 from typing import Final
 
 import fire
@@ -19,6 +21,7 @@
     CounterReport,
     Keepalive,
 )
+from siskinproxy.balancer.control_metrics import ControlMetrics, MetricsPage
 from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.balancer.settings import (
     InstanceSettings,
@@ -29,6 +32,8 @@
 from siskinproxy.balancer.store_source import StoreSource
 from siskinproxy.errors import SettingsError
 from siskinproxy.instances.membership import TIMER_PERIOD_S
+from siskinproxy.operators.admin import AdminServer, AdminView
+from siskinproxy.operators.admin_setup import make_admin_server
 from siskinproxy.store.client import GrpcKeyValueClient
 
 __all__ = ('ControlProcess', 'main')
@@ -90,6 +95,9 @@
         self._stop_asked = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         self._store: GrpcKeyValueClient | None = None
+        self._source: StoreSource | None = None
+        self._admin: AdminServer | None = None
+        self._page: MetricsPage | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._link = ControlLinkClient(
             cfg.packet.link_port,
@@ -116,6 +124,12 @@
         self._tasks.append(asyncio.create_task(self._run_timers()))
         if self._cfg.store.address:
             await self._start_store()
+        if self._cfg.control.metrics_port:
+            self._page = self._make_page()
+            await self._page.start()
+        if self._cfg.admin.port:
+            self._admin = self._make_admin()
+            await self._admin.start()
         self._link.start()
         self._log.event(
             'control_process_started',
@@ -142,9 +156,19 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._perform(self.engine.farewell(time.monotonic()))
-        await self._link.close()
-        if self._store is not None:
-            await self._store.close()
+        # The source releases the reader role through the store, so the
+        # client of the store is closed last.
+        parts = (
+            self._store,
+            self._source,
+            self._link,
+            self._page,
+            self._admin,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            for part in parts:
+                if part is not None:
+                    stack.push_async_callback(part.close)
         if self._transport is not None:
             self._transport.close()
         self._log.event('control_process_stopped')
@@ -178,10 +202,12 @@
         )
         # No platform names instances of other zones, and the file is read.
         self.engine.membership.suggest((), ())
+        now_s = time.monotonic()
         step = self.engine.adopt_from_store(
             found.head,
             found.sections,
-            time.monotonic(),
+            now_s,
+            now_s,
         )
         self._perform(step)
 
@@ -189,6 +215,32 @@
         """Handle a datagram from another instance."""
         self._perform(self.engine.on_datagram(payload, time.monotonic()))
 
+    def _make_page(self) -> MetricsPage:
+        metrics = ControlMetrics(self.engine, self._count_calls)
+        return MetricsPage(
+            metrics,
+            self._cfg.instance.address,
+            self._cfg.control.metrics_port,
+        )
+
+    def _count_calls(self) -> Counter[str]:
+        return self._store.calls if self._store else Counter()
+
+    def _make_admin(self) -> AdminServer:
+        instance = self._cfg.instance
+        view = AdminView(
+            instance.name,
+            instance.region,
+            self.engine.instances,
+            lambda: self.engine.configuration.in_force,
+        )
+        return make_admin_server(
+            self._cfg,
+            view,
+            lambda: self._store,
+            self._log,
+        )
+
     async def _start_store(self) -> None:
         settings = self._cfg.store
         self._store = GrpcKeyValueClient(
@@ -199,13 +251,13 @@
         await self._store.start()
         source = StoreSource(
             self._store,
-            self._cfg.instance.region,
+            self._cfg.instance,
             self.engine,
             self._perform,
             self._log,
             self._rng,
         )
-        source.set_watching(True)
+        self._source = source
         self._tasks.append(asyncio.create_task(source.run()))
 
     async def _run_timers(self) -> None:
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -48,6 +48,13 @@
 #: Mean deviations above the mean completion time that are reserved before the
 #: deadline of a queued flow, as in the retransmission timeout of RFC 6298.
 DEVIATIONS: Final = 4
+#: Reasons that packet loss or a slow network can also cause.
+SLOW_REASONS: Final = frozenset(
+    (ColdStartReason.STALLED, ColdStartReason.SLOW_COMPLETIONS),
+)
+#: Time for which slow answers are no evidence after a common cause: packet loss
+#: lasts until the fabric's list of instances is up to date.
+COMMON_CAUSE_S: Final = 3.0
 _MS_PER_S: Final = 1000.0
 
 _Decision = Admitted | Refused
@@ -103,8 +110,10 @@
         self._budget = RetryBudget(limits.retry_share, limits.retry_floor_per_s)
         self._refreshed_s = -math.inf
         self._completion_s = limits.default_completion_s
+        self._common_cause_until_s = -math.inf
         self._completion_bound_s = limits.default_completion_s
-        self._mean_busy_s: dict[Mode, float] = {'request': 0, 'stream': 0}
+        # Computed when a flow needs it and valid until the next refresh.
+        self._mean_busy_s: dict[Mode, float] = {}
 
     @property
     def has_waiting(self) -> bool:
@@ -265,6 +274,24 @@
         record.restored = True
         self._add(record, now_s)
 
+    def restore_streams(
+        self, target_name: str, count: int, now_s: float
+    ) -> None:
+        """Count flows in mode ``stream`` that another owner admitted.
+
+        Parameters
+        ----------
+        target_name : str
+            Target of the flows.
+        count : int
+            Number of flows, none of which this owner knows yet.
+        now_s : float
+            Current time in seconds.
+        """
+        state = self._states.get(target_name)
+        if state is not None and not state.out_of_service:
+            state.streams.change(count, now_s)
+
     def accepted(self, key: bytes, now_s: float) -> None:
         """Note that the target accepted the opening segment.
 
@@ -541,7 +568,7 @@
             candidates,
             mode,
             flow.ingress_zone,
-            self._mean_busy_s[mode],
+            self._mean_busy(mode, now_s),
             now_s,
             self._rng,
         )
@@ -698,9 +725,34 @@
             return
         if reason is ColdStartReason.REFUSALS:
             state.pause_after_refusals(now_s)
-        state.begin_warmup(reason, now_s)
+        self._begin_warmup(state, reason, now_s)
         self._refresh(now_s)
 
+    def _begin_warmup(
+        self, state: TargetState, reason: ColdStartReason, now_s: float
+    ) -> None:
+        """Start a warm-up unless too many targets seem cold at once.
+
+        Slow answers of most targets have a common cause, such as packet loss
+        on the way, and warm-ups of all of them would refuse nearly all flows.
+        """
+        if reason is ColdStartReason.REFUSALS:
+            state.begin_warmup(reason, now_s)
+            return
+        if now_s < self._common_cause_until_s:
+            return
+        serving = [item for item in self._states.values() if item.serves]
+        slow = [item for item in serving if item.cold_start in SLOW_REASONS]
+        slow = [item for item in slow if item.warmup is not None]
+        if 2 * (len(slow) + 1) <= max(len(serving), 2):
+            state.begin_warmup(reason, now_s)
+            return
+        self._common_cause_until_s = now_s + COMMON_CAUSE_S
+        for item in slow:
+            item.warmup = None
+            item.evidence.restart()
+        state.evidence.restart()
+
     def _peer_slowdown(self, state: TargetState) -> float:
         peers = [
             peer.evidence.slowdown
@@ -722,9 +774,19 @@
             self._advance_warmup(state, now_s)
         warm = [item for item in serving if item.warmup is None]
         self._update_limits(warm, now_s)
-        for mode in self._mean_busy_s:
-            busy = (relative_busy_s(item, mode, now_s) for item in warm)
-            self._mean_busy_s[mode] = _mean(busy)
+        self._mean_busy_s.clear()
+
+    def _mean_busy(self, mode: Mode, now_s: float) -> float:
+        """Return the mean of `relative_busy_s` over the warm targets."""
+        mean_s = self._mean_busy_s.get(mode)
+        if mean_s is None:
+            mean_s = _mean(
+                relative_busy_s(item, mode, now_s)
+                for item in self._states.values()
+                if item.serves and item.warmup is None
+            )
+            self._mean_busy_s[mode] = mean_s
+        return mean_s
 
     def _update_completion(self) -> None:
         times = [
@@ -751,7 +813,7 @@
         for state, level in zip(serving, levels, strict=True):
             state.set_stalled(level >= 1, now_s)
             if state.is_cold(level) and state.warmup is None:
-                state.begin_warmup(ColdStartReason.STALLED, now_s)
+                self._begin_warmup(state, ColdStartReason.STALLED, now_s)
 
     def _advance_warmup(self, state: TargetState, now_s: float) -> None:
         warmup = state.warmup
