Keep the homes of shards that a change of members cannot affect

Cause: each new view ranked all members for all shards, one hash and one comparison for each pair, while the packet loop stood still. Ruled out: application of the configuration (4 us a target, 8 ms for 2,000). Before: 135 ms for 330 members and 571 shards, 0.375 ms a member; a socket buffer of 208 KiB holds about 500 datagrams, so a pause of this length drops segments. Homes in three distinct zones change only if one of them is gone or a new member outranks the third; all other shards are ranked in full.

--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -372,10 +372,10 @@
         state = self.state
         if self._configuration is None:
             return
-        view = View(members, self._configuration)
         earlier = None
         if state.views.has_views:
             earlier = state.views.current
+        view = View(members, self._configuration, earlier)
         view_changed = state.views.push(view, now_s)
         if view_changed:
             # The membership protocol has judged all members anew.
--- a/siskinproxy/instances/placement.py
+++ b/siskinproxy/instances/placement.py
@@ -86,6 +86,10 @@
     configuration : Configuration
         Configuration in force; instances in zones that are out of service
         are no homes.
+    earlier : View, optional
+        View that this one replaces. Its homes are kept where the difference
+        of the members cannot change them: ranking 330 members for 571 shards
+        would stop the packet loop for more than 0.1 s.
     """
 
     __slots__ = ('_homes', '_single_shards', 'members', 'shard_counts')
@@ -94,6 +98,7 @@
         self,
         members: tuple[Member, ...],
         configuration: Configuration,
+        earlier: 'View | None' = None,
     ) -> None:
         out = {zone.name for zone in configuration.zones if not zone.in_service}
         eligible = [
@@ -114,6 +119,8 @@
             if count == 1
         }
         self._homes: dict[ShardKey, tuple[Member, ...]] = {}
+        if earlier is not None:
+            self._keep_homes(earlier)
 
     def __eq__(self, other: object) -> bool:
         """Compare members by name and zone, and shard counts."""
@@ -151,13 +158,31 @@
         names = tuple((home.name, home.zone) for home in self.members)
         return names, tuple(sorted(self.shard_counts.items()))
 
+    def _keep_homes(self, earlier: 'View') -> None:
+        """Take over the homes that a full ranking would choose again."""
+        members = {home.name: home for home in self.members}
+        before = {home.name: home.zone for home in earlier.members}
+        added = [
+            home for home in self.members if before.get(home.name) != home.zone
+        ]
+        for shard, homes in earlier.known_homes().items():
+            kept = tuple(
+                members[home.name]
+                for home in homes
+                if home.name in members and members[home.name].zone == home.zone
+            )
+            if _is_complete(kept) and not _is_outranked(shard, kept, added):
+                self._homes[shard] = kept
+
+    def known_homes(self) -> dict[ShardKey, tuple[Member, ...]]:
+        """Return the homes of the shards that were ranked so far."""
+        return self._homes
+
     def _rank(self, shard: ShardKey) -> tuple[Member, ...]:
-        salt = f'{shard.service}/{shard.index}/'.encode()
+        salt = _salt(shard)
         ranked = sorted(
             self.members,
-            key=lambda home: xxhash.xxh3_64_intdigest(
-                salt + home.name.encode()
-            ),
+            key=lambda home: _score(salt, home),
             reverse=True,
         )
         chosen: list[Member] = []
@@ -172,6 +197,31 @@
         return tuple(chosen)
 
 
+def _salt(shard: ShardKey) -> bytes:
+    return f'{shard.service}/{shard.index}/'.encode()
+
+
+def _score(salt: bytes, member: Member) -> int:
+    return xxhash.xxh3_64_intdigest(salt + member.name.encode())
+
+
+def _is_complete(homes: tuple[Member, ...]) -> bool:
+    """Tell whether homes are in distinct zones, so that rank alone decides.
+
+    With fewer zones a member of a further zone precedes a home that ranks
+    higher.
+    """
+    return len({home.zone for home in homes}) == HOME_COUNT
+
+
+def _is_outranked(
+    shard: ShardKey, homes: tuple[Member, ...], added: list[Member]
+) -> bool:
+    salt = _salt(shard)
+    lowest = _score(salt, homes[-1])
+    return any(_score(salt, member) >= lowest for member in added)
+
+
 class ViewHistory:
     """Current and earlier views, newest first.
 
