--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -6,6 +6,7 @@
     'EXIT_SETTINGS',
     'AddressReuseError',
     'BuilderError',
+    'CapacityDataError',
     'ConfigurationError',
     'DuplicateListenerError',
     'DuplicateNameError',
@@ -314,6 +315,10 @@
     """A frame between control and packet process is malformed or too long."""
 
 
+class CapacityDataError(SiskinproxyError):
+    """Measured points or the capacity page are incomplete."""
+
+
 class InvariantViolation(SiskinproxyError):
     """An invariant of the design page does not hold.
 
