--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -5,9 +5,15 @@
 __all__ = (
     'EXIT_SETTINGS',
     'AddressReuseError',
+    'AdminAccessError',
+    'AdminError',
+    'AdminOutcomeUnknownError',
+    'AdminRequestError',
+    'AdminUnreachableError',
     'BuilderError',
     'CapacityDataError',
     'ConfigurationError',
+    'ConfigurationFormatError',
     'DuplicateListenerError',
     'DuplicateNameError',
     'EmptyServiceError',
@@ -17,6 +23,7 @@
     'InvariantViolation',
     'LeaseLostError',
     'LinkFormatError',
+    'ListenerReuseError',
     'SectionDigestError',
     'SegmentFormatError',
     'SettingsError',
@@ -201,6 +208,53 @@
         self.target = target
 
 
+class ConfigurationFormatError(ConfigurationError):
+    """A text is not a configuration in JSON.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong, and where.
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(f'detail="{detail}"')
+        self.detail = detail
+
+
+class AdminError(SiskinproxyError):
+    """A call to the administration interface failed."""
+
+
+class AdminUnreachableError(AdminError):
+    """No endpoint could execute the call, which had no effect."""
+
+
+class AdminOutcomeUnknownError(AdminError):
+    """A change may or may not have been accepted.
+
+    Parameters
+    ----------
+    submission_id : str
+        Id under which the change may be repeated.
+    detail : str
+        Last failure.
+    """
+
+    def __init__(self, submission_id: str, detail: str) -> None:
+        super().__init__(f'submission={submission_id} detail="{detail}"')
+        self.submission_id = submission_id
+        self.detail = detail
+
+
+class AdminAccessError(AdminError):
+    """The endpoint rejected the token; the call had no effect."""
+
+
+class AdminRequestError(AdminError):
+    """The endpoint rejected an argument; the call had no effect."""
+
+
 class EmptyServiceError(ConfigurationError):
     """A service has no listeners or no targets.
 
@@ -280,6 +334,10 @@
         Service whose flows may still use the address.
     remaining_s : int
         Time until the address may be declared, in seconds.
+    is_released : bool
+        False if a change without the new use has to be accepted first, since
+        the flows of the previous service are still allowed. The time counts
+        from that change then.
     """
 
     def __init__(
@@ -288,15 +346,59 @@
         service: str,
         previous_service: str,
         remaining_s: int,
+        is_released: bool = False,
     ) -> None:
         super().__init__(
             f'address={address} service={service} '
-            f'previous_service={previous_service} remaining_s={remaining_s}',
+            f'previous_service={previous_service} remaining_s={remaining_s} '
+            f'released={str(is_released).lower()}',
         )
         self.address = address
         self.service = service
         self.previous_service = previous_service
         self.remaining_s = remaining_s
+        self.is_released = is_released
+
+
+class ListenerReuseError(ConfigurationError):
+    """A listener moves to another service too early.
+
+    Parameters
+    ----------
+    address : str
+        Service address.
+    port : int
+        Port of the service address.
+    service : str
+        Service that declares the listener now.
+    previous_service : str
+        Service whose flows may still use the listener.
+    remaining_s : int
+        Time until the listener may be declared, in seconds.
+    is_released : bool
+        See `AddressReuseError`.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        service: str,
+        previous_service: str,
+        remaining_s: int,
+        is_released: bool = False,
+    ) -> None:
+        super().__init__(
+            f'address={address} port={port} service={service} '
+            f'previous_service={previous_service} remaining_s={remaining_s} '
+            f'released={str(is_released).lower()}',
+        )
+        self.address = address
+        self.port = port
+        self.service = service
+        self.previous_service = previous_service
+        self.remaining_s = remaining_s
+        self.is_released = is_released
 
 
 class SegmentFormatError(SiskinproxyError):
@@ -466,7 +568,7 @@
     Parameters
     ----------
     expected : str
-        Region that it was submitted to.
+        Region that it was submitted to, or of the configuration in effect.
     found : str
         Region that it names.
     """
