--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -11,6 +11,7 @@
     'AdminRequestError',
     'AdminUnreachableError',
     'BuilderError',
+    'CapacityDataError',
     'ConfigurationError',
     'ConfigurationFormatError',
     'DuplicateListenerError',
@@ -417,6 +418,10 @@
     """A frame between control and packet process is malformed or too long."""
 
 
+class CapacityDataError(SiskinproxyError):
+    """Measured points or the capacity page are incomplete."""
+
+
 class InvariantViolation(SiskinproxyError):
     """An invariant of the design page does not hold.
 
