Report how flows end to the admission, and use free slots at once

Cause: a target's RST counted as a fast completion, expired entries counted as resets, freed slots waited up to 10 ms for the timer, and queued flows kept the reachable zones of the last opening.

Change: resets of targets and of callers are told apart, expiry is no evidence, the queue is served when a slot is released, reachability is passed on.

--- a/siskinproxy/balancer/closing.py
+++ b/siskinproxy/balancer/closing.py
@@ -11,6 +11,7 @@
     FLAGS_OFFSET,
     FLOW_KEY,
     MIN_SEGMENT_BYTES,
+    RST,
     SYN,
 )
 from siskinproxy.instances.tunnel import Kind, TunnelHeader
@@ -32,6 +33,9 @@
     ) -> None:
         """Record that the flow uses its target no more."""
 
+    def flow_abandoned(self, key: bytes, route: Route, now_s: float) -> None:
+        """Record that a flow ended without a statement of its target."""
+
     def flow_cancelled(self, key: bytes, service: str, now_s: float) -> None:
         """Record that the caller gave up a flow without a target."""
 
@@ -112,13 +116,6 @@
             self._observer.flow_accepted(key, route, now_s)
         self._change(key, binding, flags, is_from_target, now_s)
 
-    def close(self, key: bytes, now_s: float, *, reset: bool) -> None:
-        """Mark a flow as closed, for example after a refusal."""
-        binding = self._state.home_binding(key)
-        if binding is None:
-            return
-        self._enter(key, binding, FlowState.CLOSED, reset, now_s)
-
     def expire(self, now_s: float) -> None:
         """Remove entries that were closed longer than `LINGER_S` ago."""
         while self._linger and self._linger[0][0] <= now_s:
@@ -133,7 +130,7 @@
         """Release the targets of flows whose entries expired unused."""
         for key, binding in expired.items():
             if not has_released_slot(binding.state):
-                self._observer.flow_released(key, binding.route, True, now_s)
+                self._observer.flow_abandoned(key, binding.route, now_s)
 
     def _change(
         self,
@@ -144,28 +141,27 @@
         now_s: float,
     ) -> None:
         following = next_state(binding.state, flags, is_from_target)
-        if following is not binding.state:
-            self._enter(key, binding, following, False, now_s)
-
-    def _enter(
-        self,
-        key: bytes,
-        binding: Binding,
-        following: FlowState,
-        reset: bool,
-        now_s: float,
-    ) -> None:
+        if following is binding.state:
+            return
         route = binding.route
         self._state.store(key, route, following)
-        was_released = has_released_slot(binding.state)
-        if has_released_slot(following) and not was_released:
-            if route.listener.listener.mode == 'request':
-                self._observer.flow_released(key, route, reset, now_s)
-        if following is not FlowState.CLOSED:
-            return
-        if binding.state is FlowState.CLOSED:
-            return
-        self._state.counters.closed += 1
-        self._linger.append((now_s + LINGER_S, key))
-        if route.listener.listener.mode == 'stream':
-            self._observer.flow_released(key, route, reset, now_s)
+        if _releases(route, binding.state, following):
+            if flags & RST and not is_from_target:
+                self._observer.flow_abandoned(key, route, now_s)
+            else:
+                was_reset = bool(flags & RST)
+                self._observer.flow_released(key, route, was_reset, now_s)
+        if following is FlowState.CLOSED:
+            self._state.counters.closed += 1
+            self._linger.append((now_s + LINGER_S, key))
+
+
+def _releases(route: Route, before: FlowState, after: FlowState) -> bool:
+    """Tell whether a change of state frees the target's slot.
+
+    A request uses its slot until the answer is complete, a long flow its
+    connection until both sides have closed.
+    """
+    if route.listener.listener.mode == 'request':
+        return has_released_slot(after) and not has_released_slot(before)
+    return after is FlowState.CLOSED
--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -424,6 +424,7 @@
         )
         for route in state.routes.by_target.values():
             route.is_reachable = route.target.zone in reachable
+        self.opener.note_reachability(now_s)
 
     def _send_hellos(self, now_s: float) -> None:
         """Keep zones in contact when no other traffic does."""
--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -169,6 +169,12 @@
             if self._state.shard_homes(shard)[0].name == member.name:
                 self._return_shard(shard, member, now_s)
 
+    def note_reachability(self, now_s: float) -> None:
+        """Tell the admissions which zones may get flows."""
+        reachable = self._reachable_zones(now_s)
+        for admission in self.admissions.values():
+            admission.set_reachable_zones(reachable, now_s)
+
     def poll(self, now_s: float) -> None:
         """Carry out decisions for queued flows and drop old openings."""
         self._note_pause(now_s)
@@ -177,10 +183,7 @@
         self._suspect_silent(now_s)
         self._activate_targets(now_s)
         for admission in list(self.admissions.values()):
-            for key, decision in admission.poll(now_s):
-                opening = self._openings.get(key)
-                if opening is not None:
-                    self._carry_out(decision, key, opening, now_s)
+            self._decide_queued(admission, now_s)
         self.warmups.publish(self.admissions, now_s)
         self._expire(now_s)
 
@@ -298,7 +301,7 @@
             return False
         if known.state is not FlowState.OPENING:
             return False
-        self.flow_released(key, known.route, True, now_s)
+        self.flow_abandoned(key, known.route, now_s)
         self._state.store(key, binding.route, binding.state)
         self.restore(key, binding.route, now_s)
         return True
@@ -343,14 +346,29 @@
         """Record that the flow uses its target no more."""
         self._openings.pop(key, None)
         admission = self._admission(route.listener.service, key)
+        if admission is None or not route.is_allowed:
+            return
+        admission.closed(
+            key,
+            route.listener.listener,
+            route.target.name,
+            reset,
+            now_s,
+        )
+        if admission.has_waiting:
+            # A free slot goes to a queued flow at once: with the timer alone
+            # slots stay unused for up to 10 ms after each request.
+            self._decide_queued(admission, now_s)
+
+    def flow_abandoned(self, key: bytes, route: Route, now_s: float) -> None:
+        """Record that a flow ended without a statement of its target."""
+        if route.listener.listener.mode == 'stream':
+            self.flow_released(key, route, False, now_s)
+            return
+        self._openings.pop(key, None)
+        admission = self._admission(route.listener.service, key)
         if admission is not None and route.is_allowed:
-            admission.closed(
-                key,
-                route.listener.listener,
-                route.target.name,
-                reset,
-                now_s,
-            )
+            admission.cancel(key, now_s)
 
     def flow_cancelled(self, key: bytes, service: str, now_s: float) -> None:
         """Record that the caller gave up a flow without a target."""
@@ -360,6 +378,12 @@
 
     # Internals
 
+    def _decide_queued(self, admission: ShardAdmission, now_s: float) -> None:
+        for key, decision in admission.poll(now_s):
+            opening = self._openings.get(key)
+            if opening is not None:
+                self._carry_out(decision, key, opening, now_s)
+
     def _owns(self, shard: ShardKey) -> bool:
         homes = self._state.views.current.homes(shard)
         return bool(homes) and self._state.is_self(homes[0])
--- a/siskinproxy/measure/independent_admission.py
+++ b/siskinproxy/measure/independent_admission.py
@@ -98,6 +98,23 @@
     def closed(self, key: bytes, *ignored: object) -> None:
         self._forget(key)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Nothing is queued."""
+        return False
+
+    def set_reachable_zones(self, *ignored: object) -> None:
+        """Ignore zone contacts."""
+
+    def resume_warmup(self, *ignored: object) -> None:
+        """Know no warm-ups."""
+
+    def report(self, now_s: float) -> tuple[()]:
+        return ()
+
+    def restore_streams(self, *ignored: object) -> None:
+        """Keep no record of flows."""
+
     def restore(self, *ignored: object) -> None:
         """Keep no record of flows."""
 
