--- a/siskinproxy/instances/membership.py
+++ b/siskinproxy/instances/membership.py
@@ -71,6 +71,9 @@
 #: updates that were lost.
 PAGE_PERIOD_S: Final = 5.0
 
+#: The member list is read again when one of several dead members returns.
+PARTITION_MEMBERS: Final = 2
+
 #: Interval of the pages while an instance joins, about 6 KB/s.
 JOIN_PAGE_PERIOD_S: Final = 0.2
 
@@ -493,6 +496,20 @@
         self._changes.append(change)
         self._news.add(change.name)
         self._push_wanted = True
+        if change.before == 'dead':
+            self._reread_members()
+
+    def _reread_members(self) -> None:
+        """Read the member list again, since a partition may have healed.
+
+        The limit of updates would delay the news about many members; a
+        single restarted member is no reason.
+        """
+        is_reading = not self._has_member_list
+        if not is_reading and len(self._table.dead()) >= PARTITION_MEMBERS:
+            self._has_member_list = False
+            self._page_after = ''
+            self._page_due_s = self._last_s
 
     def _refute(self, update: Update) -> None:
         stated = update.record.incarnation
