--- a/siskinproxy/standins/demo.py
+++ b/siskinproxy/standins/demo.py
@@ -89,7 +89,7 @@
         self._deployment = deployment
         self._start_s = time.monotonic()
         self._rows: list[tuple[str, ...]] = []
-        self._abandoned: list[str] = []
+        self._abandoned: dict[str, float] = {}
         self._marks: dict[str, Any] = {}
 
     def run(self) -> Summary:
@@ -215,12 +215,13 @@
             for target in service.targets
             if target.zone == zone
         ]
-        self._abandoned += targets
         self._begin()
         self._say(f'taking zone {zone} out of service')
         accepted_s = deployment.submit(
             with_zone_in_service(deployment.cfg, zone, flag=False),
         )
+        until_unix_s = time.time() + _CHANGE_LIMIT_S
+        self._abandoned |= dict.fromkeys(targets, until_unix_s)
         self._wait_for_configuration()
         self._check_silence('zone_out', targets, 'received', accepted_s)
         self._end('zone out of service')
@@ -293,7 +294,8 @@
         deployment = self._deployment
         outcomes = deployment.command('callers', 'outcomes')
         records = deployment.target_records()
-        for fault in list_faults(outcomes, records, self._abandoned):
+        resets = deployment.command('fabric', 'resets')
+        for fault in list_faults(outcomes, records, resets, self._abandoned):
             self._say(f'fault {format_pairs(fault)}')
         summary = summarize(
             outcomes,
@@ -321,18 +323,21 @@
     sys.exit(128 + number)
 
 
-def run(seed: int = 1) -> None:
+def run(seed: int = 1, directory: str = '') -> None:
     """Run the demo.
 
     Parameters
     ----------
     seed : int
         Seed of the stand-ins.
+    directory : str
+        Existing directory in which settings and logs remain; empty if they
+        are not needed after the run.
     """
     signal.signal(signal.SIGTERM, _exit_on_signal)
     cfg = shorten_warmup(_read_example(), _WARMUP_S)
-    with tempfile.TemporaryDirectory(prefix='siskinproxy-') as directory:
-        deployment = Deployment(cfg, Path(directory), seed)
+    with tempfile.TemporaryDirectory(prefix='siskinproxy-') as temporary:
+        deployment = Deployment(cfg, Path(directory or temporary), seed)
         demo = Demo(deployment)
         with closing(deployment):
             summary = demo.run()
