--- a/siskinproxy/balancer/control_link.py
+++ b/siskinproxy/balancer/control_link.py
@@ -11,11 +11,11 @@
 from typing import Final
 
 import gevent
-import logbook
 import msgspec
 from gevent import socket
 from gevent.server import StreamServer
 
+from siskinproxy.balancer.logs import EventLog
 from siskinproxy.balancer.snapshot import RoutingSnapshot
 from siskinproxy.errors import LinkFormatError
 
@@ -49,7 +49,7 @@
 _LENGTH = struct.Struct('!I')
 _LOOPBACK: Final = '127.0.0.1'
 
-_log = logbook.Logger('link')
+_log = EventLog('link')
 
 
 class SnapshotMessage(msgspec.Struct, frozen=True, tag='snapshot'):
@@ -192,12 +192,12 @@
             _shut_down(self._current)
         self._current = conn
         conn.settimeout(SILENCE_TIMEOUT_S)
-        _log.info('event=link_connected peer_port={}', peer[1])
+        _log.event('link_connected', peer_port=peer[1])
         reporter = gevent.spawn(self._send_reports, conn)
         try:
             self._read(conn)
         except (OSError, LinkFormatError) as exc:
-            _log.warning('event=link_failed error="{}"', exc)
+            _log.warning('link_failed', error=str(exc))
         finally:
             reporter.kill()
             self._forget(conn)
@@ -206,7 +206,7 @@
         conn.close()
         if self._current is conn:
             self._current = None
-            _log.warning('event=link_closed')
+            _log.warning('link_closed')
 
     def _read(self, conn: socket.socket) -> None:
         while True:
@@ -225,7 +225,7 @@
                 conn.sendall(encode_frame(self._report()))
                 gevent.sleep(REPORT_PERIOD_S)
         except (OSError, LinkFormatError) as exc:
-            _log.warning('event=report_failed error="{}"', exc)
+            _log.warning('report_failed', error=str(exc))
             _shut_down(conn)
 
 
@@ -311,7 +311,7 @@
                 group.create_task(self._write(writer))
         except* (OSError, EOFError, LinkFormatError) as errors:
             for exc in errors.exceptions:
-                _log.warning('event=link_failed error="{}"', exc)
+                _log.warning('link_failed', error=str(exc))
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         while True:
