--- a/siskinproxy/instances/dissemination.py
+++ b/siskinproxy/instances/dissemination.py
@@ -84,13 +84,16 @@
             At most ``MAX_UPDATES`` names, those sent least often first.
         """
         limit = math.ceil(REPEAT_FACTOR * math.log2(members + 2))
-        self._sent = {
-            name: count for name, count in self._sent.items() if is_known(name)
-        }
         ordered = sorted(self._sent, key=self._sent.__getitem__)
-        chosen = ordered[:MAX_UPDATES]
+        known = []
+        for name in ordered[:MAX_UPDATES]:
+            if is_known(name):
+                known.append(name)
+            else:
+                self._sent.pop(name)
+        chosen = tuple(known)
         for selected in chosen:
             self._sent[selected] += 1
             if self._sent[selected] >= limit:
                 self._sent.pop(selected)
-        return chosen
+        return known
--- a/siskinproxy/instances/member_table.py
+++ b/siskinproxy/instances/member_table.py
@@ -19,6 +19,8 @@
 #: Dead members are probed this long, so that a healed partition is noticed.
 DEAD_RETENTION_S: Final = 600.0
 
+FORGET_PERIOD_S: Final = 5.0
+
 _MS_PER_S: Final = 1000
 _CONDITION_NAMES: Final = ('alive', 'suspect', 'dead')
 
@@ -90,6 +92,8 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
+        self._suspects: dict[str, Entry] = {}
+        self._forgot_s = float('-inf')
 
     def __iter__(self) -> Iterator[Entry]:
         return iter(self._entries.values())
@@ -129,15 +133,15 @@
         entry.condition = update.condition
         entry.changed_s = now_s
         entry.suspected_s = now_s - update.age_ms / _MS_PER_S
+        self._note_suspect(entry)
         return _change(before, entry, reason)
 
     def overdue(self, now_s: float) -> tuple[Entry, ...]:
         """Return the suspected members whose time to refute has passed."""
         return tuple(
             entry
-            for entry in self._entries.values()
-            if entry.condition == CONDITION_SUSPECT
-            and now_s - entry.suspected_s >= SUSPICION_S
+            for entry in self._suspects.values()
+            if now_s - entry.suspected_s >= SUSPICION_S
         )
 
     def extend_suspicions(self, now_s: float) -> None:
@@ -147,6 +151,9 @@
 
     def forget_dead(self, now_s: float) -> None:
         """Remove members that have been dead for the retention time."""
+        if now_s - self._forgot_s < FORGET_PERIOD_S:
+            return
+        self._forgot_s = now_s
         expired = [
             name
             for name, entry in self._entries.items()
@@ -178,8 +185,15 @@
         entry = Entry(update.record, update.condition, now_s)
         entry.suspected_s = now_s - update.age_ms / _MS_PER_S
         self._entries[update.record.name] = entry
+        self._note_suspect(entry)
         return _change('unknown', entry, reason)
 
+    def _note_suspect(self, entry: Entry) -> None:
+        if entry.condition == CONDITION_SUSPECT:
+            self._suspects[entry.record.name] = entry
+        else:
+            self._suspects.pop(entry.record.name, None)
+
 
 def _takes_precedence(update: Update, entry: Entry) -> bool:
     known = entry.record.incarnation
