Release restored requests early; log refused flows with the targets' use

Cause: entries of requests whose end was notified to the earlier owner only stayed in the copied flow tables; a new owner counted them as in use until deadline and grace, 3 s, and refused half of the requests of that time. The new log line showed 7 to 10 of 4 slots in use per target at the refusing owner.

Change: a restored request holds its slot for at most five usual completion times.

--- a/siskinproxy/balancer/packet_process.py
+++ b/siskinproxy/balancer/packet_process.py
@@ -44,6 +44,7 @@
 
 _READ: Final = 1
 _DRAIN_POLL_S: Final = 0.1
+_LOG_PERIOD_S: Final = 1.0
 
 #: Time without a datagram from the fabric that shows that its list of
 #: instances has caught up.
@@ -148,6 +149,7 @@
         self._greenlets = [
             gevent.spawn(self._receive),
             gevent.spawn(self._run_timers),
+            gevent.spawn(self._log_refusals),
         ]
         self._log.event(
             'packet_process_started',
@@ -231,6 +233,30 @@
             gevent.sleep(_TIMER_PERIOD_S)
             self.engine.on_timer(time.monotonic())
 
+    def _log_refusals(self) -> None:
+        """Log at most one line a second about refused flows."""
+        logged: dict[str, int] = {}
+        while True:
+            gevent.sleep(_LOG_PERIOD_S)
+            counted = dict(self.engine.counters().refused_by_reason)
+            news = {
+                reason: count - logged.get(reason, 0)
+                for reason, count in counted.items()
+                if count != logged.get(reason, 0)
+            }
+            logged = counted
+            if news:
+                self._log.warning('flows_refused', **news, **self._targets())
+
+    def _targets(self) -> dict[str, str]:
+        """Return use and limit of each target for which this is owner."""
+        now_s = time.monotonic()
+        return {
+            report.name: f'{report.in_use}/{report.limit}:{report.status.value}'
+            for admission in self.engine.opener.admissions.values()
+            for report in admission.report(now_s)
+        }
+
     def _apply_snapshot(self, snapshot: RoutingSnapshot) -> None:
         earlier = self.engine.state.generation
         self.engine.apply_snapshot(snapshot, time.monotonic())
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -48,6 +48,10 @@
 #: Mean deviations above the mean completion time that are reserved before the
 #: deadline of a queued flow, as in the retransmission timeout of RFC 6298.
 DEVIATIONS: Final = 4
+#: A restored request holds its slot for this multiple of the usual completion
+#: time. The notice of its end may have reached only the earlier owner, and a
+#: warm target refuses what exceeds its slots.
+RESTORED_FACTOR: Final = 5.0
 #: Reasons that packet loss or a slow network can also cause.
 SLOW_REASONS: Final = frozenset(
     (ColdStartReason.STALLED, ColdStartReason.SLOW_COMPLETIONS),
@@ -629,6 +633,9 @@
         if mode == 'request':
             state.flows[record.key] = record
             expires_s = record.deadline_at_s + self._limits.deadline_grace_s
+            if record.restored:
+                expected_s = RESTORED_FACTOR * self._completion_s
+                expires_s = min(expires_s, now_s + expected_s)
         else:
             expires_s = now_s + self._limits.opening_s
         state.occupancy(mode).change(1, now_s)
