--- a/siskinproxy/balancer/packet_process.py
+++ b/siskinproxy/balancer/packet_process.py
@@ -21,6 +21,10 @@
 )
 from siskinproxy.balancer.engine import PacketEngine
 from siskinproxy.balancer.logs import EventLog, set_up_logs
+from siskinproxy.balancer.packet_metrics import (
+    PacketMetrics,
+    PacketMetricsPage,
+)
 from siskinproxy.balancer.settings import (
     InstanceSettings,
     read_settings,
@@ -138,6 +142,15 @@
             self._report,
         )
 
+        self._page: PacketMetricsPage | None = None
+        if cfg.packet.metrics_port:
+            self._page = PacketMetricsPage(
+                PacketMetrics(self.engine),
+                cfg.instance.address,
+                cfg.packet.metrics_port,
+                time.monotonic,
+            )
+
     def start(self) -> None:
         """Bind the sockets and start to serve."""
         sock = self._sock
@@ -146,6 +159,8 @@
             sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
         sock.bind((self._cfg.instance.address, self._cfg.packet.port))
         self._link.start()
+        if self._page is not None:
+            self._page.start()
         self._greenlets = [
             gevent.spawn(self._receive),
             gevent.spawn(self._run_timers),
@@ -182,6 +197,8 @@
         """Stop serving and release the sockets."""
         gevent.killall(self._greenlets)
         self._link.close()
+        if self._page is not None:
+            self._page.close()
         self._sock.close()
         self._log.event(
             'packet_process_stopped',
