Check the invariants of the packet process while it runs

The monitor keeps its own tables from the configuration, counts violations by invariant and reports each as InvariantViolation, which the packet process logs.

--- a/siskinproxy/balancer/counters.py
+++ b/siskinproxy/balancer/counters.py
@@ -33,6 +33,8 @@
         Datagrams sent to other instances.
     refused_by_reason : dict of str to int
         The refused flows by `RefusedReason`.
+    violations_by_name : dict of str to int
+        The violations by invariant.
     """
 
     forwarded: int = 0
@@ -55,6 +57,7 @@
     violations: int = 0
     tunnel_datagrams: int = 0
     refused_by_reason: dict[str, int] = msgspec.field(default_factory=dict)
+    violations_by_name: dict[str, int] = msgspec.field(default_factory=dict)
 
     def count_refusal(self, reason: str) -> None:
         """Count a refused flow."""
@@ -62,9 +65,21 @@
         by_reason = self.refused_by_reason
         by_reason[reason] = by_reason.get(reason, 0) + 1
 
+    def count_violation(self, name: str) -> None:
+        """Count a violation of an invariant."""
+        self.violations += 1
+        by_name = self.violations_by_name
+        by_name[name] = by_name.get(name, 0) + 1
+
     def as_dict(self) -> dict[str, int]:
-        """Return all counters by name; refusals as ``refused_<reason>``."""
+        """Return all counters by name.
+
+        Refusals are named ``refused_<reason>`` and violations
+        ``violations_<invariant>``.
+        """
         counters = msgspec.structs.asdict(self)
         for reason, count in counters.pop('refused_by_reason').items():
             counters[f'refused_{reason}'] = count
+        for name, number in counters.pop('violations_by_name').items():
+            counters[f'violations_{name}'] = number
         return counters
--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -12,7 +12,11 @@
 from siskinproxy.balancer.settings import Limits
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
 from siskinproxy.callers.flow_table import FlowState
-from siskinproxy.errors import SiskinproxyError, TunnelFormatError
+from siskinproxy.errors import (
+    InvariantViolation,
+    SiskinproxyError,
+    TunnelFormatError,
+)
 from siskinproxy.fabric.segments import (
     FIN,
     FLAGS_OFFSET,
@@ -102,6 +106,7 @@
         state = self.state
         configuration_changed = snapshot.generation > state.generation
         if configuration_changed:
+            state.monitor.apply(snapshot.generation, snapshot.configuration)
             state.generation = snapshot.generation
             state.routes.apply(snapshot.configuration)
             state.zones = tuple(
@@ -213,8 +218,10 @@
         """Send a segment of a known flow to its target."""
         state = self.state
         if segment[16:20] + segment[22:24] != route.listener.endpoint:
-            # service_isolation: the entry belongs to another listener.
-            state.counters.violations += 1
+            # The entry belongs to another listener.
+            state.monitor.report(
+                InvariantViolation('service_isolation', 'flow of a listener'),
+            )
             return
         if not route.is_allowed:
             state.counters.revoked += 1
@@ -225,6 +232,7 @@
             state.counters.unreachable += 1
             return
         state.counters.forwarded += 1
+        state.monitor.check_target(route.address, segment)
         state.outbox.to_target(
             route.address,
             translate_destination(segment, route.to_target),
@@ -305,12 +313,14 @@
                 self._to_owner(route, key, segment, now_s)
                 return False
             state.learned.put(key, route.bindings[FlowState.ESTABLISHED])
-        self._to_caller(route, segment)
+        self._to_caller(route, key, segment)
         return True
 
-    def _to_caller(self, route: Route, segment: bytes) -> None:
-        self.state.counters.answered += 1
-        self.state.outbox.to_caller(
+    def _to_caller(self, route: Route, key: bytes, segment: bytes) -> None:
+        state = self.state
+        state.counters.answered += 1
+        state.monitor.check_answer(key, segment)
+        state.outbox.to_caller(
             translate_source(segment, route.to_caller),
         )
 
@@ -354,11 +364,11 @@
             self.state.counters.crossed += 1
             return
         if not segment[FLAGS_OFFSET] & RST:
-            self._to_caller(route, segment)
+            self._to_caller(route, key, segment)
             return
         if self.opener.on_reset(key, route, segment, now_s):
             return
-        self._to_caller(route, segment)
+        self._to_caller(route, key, segment)
         self.closer.publish(route.listener.service, key, segment, now_s)
 
     # Members and zones
--- a/siskinproxy/balancer/engine_state.py
+++ b/siskinproxy/balancer/engine_state.py
@@ -4,6 +4,7 @@
 from typing import Final, Protocol
 
 from siskinproxy.balancer.counters import Counters
+from siskinproxy.balancer.invariants import InvariantMonitor
 from siskinproxy.balancer.routes import Route, RouteTable
 from siskinproxy.balancer.settings import Limits
 from siskinproxy.balancer.snapshot import Member
@@ -64,6 +65,7 @@
         'identity',
         'learned',
         'limits',
+        'monitor',
         'outbox',
         'own_id',
         'peers',
@@ -100,6 +102,10 @@
         self.zone_contact = ZoneContact(identity.zone, limits.sight_s)
         self.streams = RotatingTable(limits.flow_idle_s)
         self.requests = RotatingTable(REQUEST_LIFETIME_S)
+        self.monitor = InvariantMonitor(
+            self.counters,
+            (self.streams, self.requests),
+        )
         # An entry lives for one to two lifetimes after the last answer.
         self.learned = RotatingTable(
             limits.learned_s / 2,
--- /dev/null
+++ b/siskinproxy/balancer/invariants.py
@@ -0,0 +1,291 @@
+"""Checks of the invariants that the packet process can see."""
+
+from collections.abc import Callable
+from typing import Final
+
+from siskinproxy.balancer.counters import Counters
+from siskinproxy.callers.flow_table import Binding, FlowState, RotatingTable
+from siskinproxy.errors import InvariantViolation
+from siskinproxy.fabric.segments import Endpoint, pack_endpoint, unpack_endpoint
+from siskinproxy.operators.configuration import Configuration
+
+__all__ = ('InvariantMonitor',)
+
+#: Flows refused by a target that wait for the owner's decision. The number of
+#: openings is bounded by their lifetime; this bounds the memory as well.
+_MAX_REFUSED: Final = 10_000
+
+
+class InvariantMonitor:
+    """Checks each segment sent and each decision against the invariants.
+
+    It keeps its own tables, derived from the configuration and not from the
+    routes, so that a wrong route is found.
+
+    Parameters
+    ----------
+    counters : Counters
+        Where violations are counted by name.
+    tables : tuple of RotatingTable
+        Home entries of long flows and of requests.
+
+    Attributes
+    ----------
+    on_violation : callable or None
+        Gets each `InvariantViolation`.
+    """
+
+    __slots__ = (
+        '_counters',
+        '_draining',
+        '_generation',
+        '_permitted',
+        '_refused',
+        '_requests',
+        '_service_of_listener',
+        '_service_of_target',
+        '_streams',
+        '_zone_of_target',
+        '_zones_out',
+        'on_violation',
+    )
+
+    def __init__(
+        self,
+        counters: Counters,
+        tables: tuple[RotatingTable, RotatingTable],
+    ) -> None:
+        self._streams = tables[0]
+        self._requests = tables[1]
+        self.on_violation: Callable[[InvariantViolation], None] | None = None
+        self._counters = counters
+        self._generation = 0
+        self._service_of_listener: dict[bytes, str] = {}
+        self._service_of_target: dict[tuple[str, int], str] = {}
+        self._zone_of_target: dict[str, str] = {}
+        self._zones_out: frozenset[str] = frozenset()
+        self._draining: frozenset[str] = frozenset()
+        # Listener of the last permitted segment by target, so that an
+        # established flow costs one look-up.
+        self._permitted: dict[tuple[str, int], bytes] = {}
+        self._refused: dict[bytes, None] = {}
+
+    def report(self, violation: InvariantViolation) -> None:
+        """Count a violation and pass it on.
+
+        Parameters
+        ----------
+        violation : InvariantViolation
+            What was found.
+        """
+        self._counters.count_violation(violation.name)
+        if self.on_violation is not None:
+            self.on_violation(violation)
+
+    def apply(self, generation: int, cfg: Configuration) -> None:
+        """Use the configuration that is now in force (`config_monotonic`).
+
+        Parameters
+        ----------
+        generation : int
+            Generation in force.
+        cfg : Configuration
+            Its configuration.
+        """
+        if generation < self._generation:
+            self._violated(
+                'config_monotonic',
+                f'generation={generation} earlier={self._generation}',
+            )
+        self._generation = generation
+        self._permitted.clear()
+        self._zones_out = frozenset(
+            zone.name for zone in cfg.zones if not zone.in_service
+        )
+        self._service_of_target = {}
+        self._zone_of_target = {}
+        self._note_services(cfg)
+        self._note_retired(cfg)
+
+    def check_target(self, address: tuple[str, int], segment: bytes) -> None:
+        """Check a segment for a target (`service_isolation`, `zone_out`).
+
+        Parameters
+        ----------
+        address : (str, int)
+            Where the segment is sent.
+        segment : bytes
+            Segment with the listener as its destination.
+        """
+        listener = segment[16:20] + segment[22:24]
+        if self._permitted.get(address) != listener:
+            self._check_pair(address, listener)
+
+    def check_answer(self, key: bytes, segment: bytes) -> None:
+        """Check a segment from a target for a caller (`answer_integrity`).
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        segment : bytes
+            Segment with the target as its source.
+        """
+        binding = (
+            self._streams.young.get(key)
+            or self._requests.young.get(key)
+            or self._streams.old.get(key)
+            or self._requests.old.get(key)
+        )
+        if binding is None:
+            return
+        if binding.route.endpoint != segment[12:16] + segment[20:22]:
+            self._violated(
+                'answer_integrity',
+                f'flow={key.hex()} source={segment[12:16].hex()}',
+            )
+
+    def note_target_refused(self, key: bytes) -> None:
+        """Record that the target of an opening flow refused its SYN."""
+        self._refused[key] = None
+        if len(self._refused) > _MAX_REFUSED:
+            self._refused.pop(next(iter(self._refused)))
+
+    def check_admission(
+        self,
+        key: bytes,
+        address: tuple[str, int],
+        known: Binding | None,
+        *,
+        is_new: bool,
+    ) -> None:
+        """Check the owner's selection (`drain`, `at_most_once`).
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        address : (str, int)
+            Address and port of the selected target.
+        known : Binding or None
+            Entry of the flow before the selection.
+        is_new : bool
+            False if an earlier selection is repeated.
+        """
+        if is_new and address[0] in self._draining:
+            self._violated('drain', f'flow={key.hex()} target={address[0]}')
+        was_refused = self._refused.pop(key, False) is None
+        if was_refused or not self._is_live(known):
+            return
+        if known is not None and known.route.address != address:
+            self._violated(
+                'at_most_once',
+                f'flow={key.hex()} target={address[0]}'
+                f' earlier={known.route.address[0]}',
+            )
+
+    def check_limit(self, target: str, in_use: int, limit: int) -> None:
+        """Check the load of a target after an admission (`warmup_limit`).
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        in_use : int
+            Flows in progress with the new one.
+        limit : int
+            Flows that may be in progress.
+        """
+        if in_use > limit:
+            self._violated(
+                'warmup_limit',
+                f'target={target} in_use={in_use} limit={limit}',
+            )
+
+    def check_refusal(self, key: bytes, known: Binding | None) -> None:
+        """Check an RST that answers a SYN (`truthful_refusal`).
+
+        Parameters
+        ----------
+        key : bytes
+            Flow key.
+        known : Binding or None
+            Entry of the flow at this instance.
+        """
+        was_refused = self._refused.pop(key, False) is None
+        if known is None or not self._is_live(known):
+            return
+        if known.state is not FlowState.OPENING or not was_refused:
+            self._violated(
+                'truthful_refusal',
+                f'flow={key.hex()} target={known.route.address[0]}'
+                f' state={known.state.name}',
+            )
+
+    def _violated(self, name: str, detail: str) -> None:
+        self.report(InvariantViolation(name, detail))
+
+    def _check_pair(self, address: tuple[str, int], listener: bytes) -> None:
+        service = self._service_of_listener.get(listener)
+        own_service = self._service_of_target.get(address)
+        detail = (
+            f'target={address[0]}:{address[1]}'
+            f' listener={unpack_endpoint(listener)}'
+        )
+        if service is None or service != own_service:
+            self._violated('service_isolation', detail)
+        elif self._zone_of_target.get(address[0]) in self._zones_out:
+            self._violated('zone_out', detail)
+        else:
+            self._permitted[address] = listener
+
+    def _is_live(self, binding: Binding | None) -> bool:
+        if binding is None or binding.state is FlowState.CLOSED:
+            return False
+        address = binding.route.address
+        if address not in self._service_of_target:
+            return False
+        # An entry of a zone that was out of service stays abandoned.
+        is_in_service = self._zone_of_target[address[0]] not in self._zones_out
+        return is_in_service and binding.route.is_allowed
+
+    def _note_services(self, cfg: Configuration) -> None:
+        draining = set()
+        for service in cfg.services:
+            for listener in service.listeners:
+                endpoint = Endpoint(listener.address, listener.port)
+                # Removed listeners stay known: their established flows go on.
+                self._service_of_listener[pack_endpoint(endpoint)] = (
+                    service.name
+                )
+            for target in service.targets:
+                self._zone_of_target[target.address] = target.zone
+                if target.draining:
+                    draining.add(target.address)
+                for listener in service.listeners:
+                    address = (target.address, listener.target_port)
+                    self._service_of_target[address] = service.name
+        self._draining = frozenset(draining)
+
+    def _note_retired(self, cfg: Configuration) -> None:
+        draining = set(self._draining)
+        for retired in cfg.retired:
+            if retired.released_unix_s:
+                continue
+            target = retired.target
+            for port in retired.ports:
+                address = (target.address, port)
+                if address not in self._service_of_target:
+                    self._service_of_target[address] = retired.service
+                    self._zone_of_target.setdefault(target.address, target.zone)
+        in_use = {
+            target.address
+            for service in cfg.services
+            for target in service.targets
+        }
+        draining.update(
+            item.target.address
+            for item in cfg.retired
+            if item.target.address not in in_use
+        )
+        self._draining = frozenset(draining)
--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -12,10 +12,12 @@
 from siskinproxy.callers.flow_table import Binding, FlowState
 from siskinproxy.callers.requests import (
     Admitted,
+    AdmittedReason,
     Queued,
     Refused,
     RefusedReason,
 )
+from siskinproxy.errors import InvariantViolation
 from siskinproxy.fabric.segments import (
     FLOW_KEY,
     Endpoint,
@@ -315,7 +317,12 @@
         admission = self._admission(route.listener.service, key)
         if admission is None:
             return False
-        decision = admission.target_refused(key, now_s)
+        try:
+            decision = admission.target_refused(key, now_s)
+        except InvariantViolation as exc:
+            self._state.monitor.report(exc)
+            return False
+        self._state.monitor.note_target_refused(key)
         if isinstance(decision, Admitted):
             self._state.counters.retried += 1
         self._carry_out(decision, key, opening, now_s)
@@ -643,6 +650,7 @@
         if route is None:
             self._refuse(key, opening, RefusedReason.NO_TARGET)
             return
+        self._check_admission(decision, key, route)
         state.counters.opened += 1
         state.store(key, route, FlowState.OPENING)
         deputized = self._deputized.get(
@@ -654,6 +662,19 @@
         sent = replace(opening, since_s=now_s, route=route)
         self._pass_on(sent, route, homes, 0)
 
+    def _check_admission(
+        self, decision: Admitted, key: bytes, route: Route
+    ) -> None:
+        state = self._state
+        is_new = decision.reason is not AdmittedReason.REPEATED
+        known = state.home_binding(key)
+        state.monitor.check_admission(key, route.address, known, is_new=is_new)
+        admission = self._admission(route.listener.service, key)
+        if is_new and admission is not None:
+            mode = route.listener.listener.mode
+            in_use, limit = admission.usage(decision.target.name, mode)
+            state.monitor.check_limit(decision.target.name, in_use, limit)
+
     @_carry_out.register
     def _wait(
         self, decision: Queued, key: bytes, opening: _Opening, now_s: float
@@ -672,6 +693,7 @@
         self._state.counters.count_refusal(reason.value)
         self._openings.pop(key, None)
         binding = self._state.home_binding(key)
+        self._state.monitor.check_refusal(key, binding)
         if binding is not None:
             self._state.table_of(binding.route).pop(key)
         self._state.outbox.to_caller(build_reset(opening.segment))
@@ -731,6 +753,7 @@
             state.counters.unreachable += 1
             return
         state.counters.forwarded += 1
+        state.monitor.check_target(route.address, segment)
         state.outbox.to_target(
             route.address,
             translate_destination(segment, route.to_target),
--- a/siskinproxy/balancer/packet_process.py
+++ b/siskinproxy/balancer/packet_process.py
@@ -27,6 +27,7 @@
     run_or_exit,
 )
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
+from siskinproxy.errors import InvariantViolation
 from siskinproxy.instances.tunnel import TUNNEL_VERSION
 
 __all__ = ('PacketProcess', 'main')
@@ -131,6 +132,7 @@
             cfg.limits,
             random.Random(),
         )
+        self.engine.state.monitor.on_violation = self._on_violation
         self._link = ControlLinkServer(
             cfg.packet.link_port,
             self._on_message,
@@ -231,6 +233,13 @@
             gevent.sleep(_TIMER_PERIOD_S)
             self.engine.on_timer(time.monotonic())
 
+    def _on_violation(self, violation: InvariantViolation) -> None:
+        self._log.error(
+            'invariant_violation',
+            invariant=violation.name,
+            detail=violation.detail,
+        )
+
     def _apply_snapshot(self, snapshot: RoutingSnapshot) -> None:
         earlier = self.engine.state.generation
         self.engine.apply_snapshot(snapshot, time.monotonic())
--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -306,6 +306,24 @@
         if record.listener.mode == 'stream':
             self._flows.pop(key)
 
+    def usage(self, name: str, mode: Mode) -> tuple[int, int]:
+        """Return the flows in progress at a target and their limit.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        mode : {'request', 'stream'}
+            Mode of the listener.
+
+        Returns
+        -------
+        tuple of int
+            Flows in progress and the limit now in force.
+        """
+        state = self._states[name]
+        return state.occupancy(mode).count, state.limit(mode)
+
     def target_refused(self, key: bytes, now_s: float) -> Admitted | Refused:
         """Decide about a flow whose opening segment the target refused.
 
