--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -14,10 +14,12 @@
 from siskinproxy.callers.flow_table import Binding, FlowState
 from siskinproxy.callers.requests import (
     Admitted,
+    AdmittedReason,
     Queued,
     Refused,
     RefusedReason,
 )
+from siskinproxy.errors import InvariantViolation
 from siskinproxy.fabric.segments import (
     FLOW_KEY,
     Endpoint,
@@ -242,6 +244,11 @@
         listener = self._listener(segment)
         if listener is None:
             return
+        binding = self._state.home_binding(segment[FLOW_KEY])
+        if binding is not None and _is_live(binding):
+            # A duplicate of an answer after which the flow was opened.
+            self._repeat(segment, binding.route)
+            return
         opening = _Opening(segment, self._zone_of(header), now_s)
         self._open(segment[FLOW_KEY], opening, listener, now_s)
 
@@ -325,7 +332,12 @@
         admission = self._admission(route.listener.service, key)
         if admission is None:
             return False
-        decision = admission.target_refused(key, now_s)
+        try:
+            decision = admission.target_refused(key, now_s)
+        except InvariantViolation as exc:
+            self._state.monitor.report(exc)
+            return False
+        self._state.monitor.note_target_refused(key)
         if isinstance(decision, Admitted):
             self._state.counters.retried += 1
         self._carry_out(decision, key, opening, now_s)
@@ -692,6 +704,7 @@
         if route is None:
             self._refuse(key, opening, RefusedReason.NO_TARGET)
             return
+        self._check_admission(decision, key, route)
         state.counters.opened += 1
         state.store(key, route, FlowState.OPENING)
         deputized = self._deputized.get(
@@ -703,12 +716,26 @@
         sent = replace(opening, since_s=now_s, route=route)
         self._pass_on(sent, route, homes, 0)
 
+    def _check_admission(
+        self, decision: Admitted, key: bytes, route: Route
+    ) -> None:
+        state = self._state
+        is_new = decision.reason is not AdmittedReason.REPEATED
+        known = state.home_binding(key)
+        state.monitor.check_admission(key, route.address, known, is_new=is_new)
+        admission = self._admission(route.listener.service, key)
+        if is_new and admission is not None:
+            mode = route.listener.listener.mode
+            in_use, limit = admission.usage(decision.target.name, mode)
+            state.monitor.check_limit(decision.target.name, in_use, limit)
+
     def _refuse(
         self, key: bytes, opening: _Opening, reason: RefusedReason
     ) -> None:
         self._state.counters.count_refusal(reason.value)
         self._openings.pop(key, None)
         binding = self._state.home_binding(key)
+        self._state.monitor.check_refusal(key, binding)
         if binding is not None:
             self._state.table_of(binding.route).pop(key)
         self._state.outbox.to_caller(build_reset(opening.segment))
@@ -768,6 +795,7 @@
             state.counters.unreachable += 1
             return
         state.counters.forwarded += 1
+        state.monitor.check_target(route.address, segment)
         state.outbox.to_target(
             route.address,
             translate_destination(segment, route.to_target),
