Split silence detection and target activation from the opening of flows

While moving the code, two faults were found by reading: the age of a target was compared in two ways, so rounding could leave a service without targets until the next change, and shards were given up in the order of a set, which differs between runs.

--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -1,15 +1,14 @@
 """Opening of flows: the owner selects a target and informs the homes."""
 
-from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Final
 
-import msgspec
-
 from siskinproxy.balancer.engine_state import SUSPECT_S, EngineState
 from siskinproxy.balancer.routes import ListenerState, Route
 from siskinproxy.balancer.shard_restore import restore_shards
+from siskinproxy.balancer.silence import Opening, SilenceDetector
 from siskinproxy.balancer.snapshot import Member
+from siskinproxy.balancer.target_activation import TargetActivation
 from siskinproxy.balancer.warmup_handover import WarmupHandover
 from siskinproxy.callers.flow_table import Binding, FlowState
 from siskinproxy.callers.requests import (
@@ -42,7 +41,7 @@
     encode_entries,
     member_id,
 )
-from siskinproxy.operators.configuration import Service, Target
+from siskinproxy.operators.configuration import Service
 from siskinproxy.targets.admission import ShardAdmission
 from siskinproxy.targets.limits import AdmissionLimits
 
@@ -52,11 +51,6 @@
 #: this many hops the receiver decides.
 MAX_OPEN_HOPS: Final = 2
 
-#: A new target, or one whose zone returns to service, gets its first flow after
-#: this time, so that no instance handles its segments that has not yet applied
-#: the generation.
-TARGET_ACTIVATION_S: Final = 2.0
-
 #: Time for which the owner keeps a SYN to repeat it at another target.
 OPENING_LIFETIME_S: Final = 10.0
 
@@ -67,27 +61,6 @@
 _FAILOVER: Final = 0x80
 _ZONE_MASK: Final = 0x7F
 
-#: Interval of acknowledgments to one sender; a quarter of `SUSPECT_S`, so that
-#: one lost datagram causes no suspicion.
-ACKNOWLEDGE_PERIOD_S: Final = 0.05
-
-#: After a pause of the process, other homes may have opened its flows, so it
-#: asks them for this time.
-CAUTIOUS_S: Final = 2.0
-
-
-@dataclass(slots=True)
-class _Opening:
-    """SYN of a flow that no target has accepted yet.
-
-    The route is set if the SYN was sent to a home as a replication.
-    """
-
-    segment: bytes
-    ingress_zone: str
-    since_s: float
-    route: Route | None = None
-
 
 class FlowOpener:
     """Decides for new flows of the shards that this instance owns.
@@ -99,48 +72,38 @@
     """
 
     __slots__ = (
-        '_acknowledged_s',
-        '_activated',
-        '_cautious_until_s',
+        '_activation',
         '_ceded',
         '_deputized',
         '_openings',
-        '_owed',
-        '_polled_s',
-        '_seen_s',
+        '_silence',
         '_state',
-        '_unacknowledged',
         'admissions',
         'warmups',
     )
 
     def __init__(self, state: EngineState) -> None:
         self._state = state
+        self._silence = SilenceDetector(state)
+        self._activation = TargetActivation(state.routes)
         self.admissions: dict[ShardKey, ShardAdmission] = {}
         self.warmups = WarmupHandover(state)
-        self._openings: dict[bytes, _Opening] = {}
-        self._seen_s: dict[str, float] = {}
-        self._activated = 0
-        self._unacknowledged: dict[str, deque[_Opening]] = {}
-        self._owed: set[int] = set()
-        self._acknowledged_s = float(0)
+        self._openings: dict[bytes, Opening] = {}
         self._deputized: dict[ShardKey, list[bytes]] = {}
         self._ceded: dict[ShardKey, Member] = {}
-        self._polled_s: float | None = None
-        self._cautious_until_s = 0.0
 
     # Shards
 
     def apply(self, now_s: float) -> None:
         """Take over or give up shards after a change of view or targets."""
         state = self._state
-        self._note_targets(now_s)
+        self._activation.note_configuration(now_s)
         self._deputized.clear()
         self._ceded.clear()
         owned = {
             shard for shard in state.views.current.shards() if self._owns(shard)
         }
-        for lost in set(self.admissions) - owned:
+        for lost in sorted(set(self.admissions) - owned):
             self._give_up(lost, now_s)
         self._apply_shards(sorted(owned), now_s)
         self._forward_lost(now_s)
@@ -163,7 +126,7 @@
         Opening segments sent to it are taken as received, and a deputy gives
         the member's shards back.
         """
-        self._unacknowledged.pop(member.name, None)
+        self._silence.note_heard(member)
         if member.name not in self._state.suspects:
             return
         self._state.suspects.discard(member.name)
@@ -179,11 +142,12 @@
 
     def poll(self, now_s: float) -> None:
         """Carry out decisions for queued flows and drop old openings."""
-        self._note_pause(now_s)
-        self._polled_s = now_s
-        self._acknowledge(now_s)
-        self._suspect_silent(now_s)
-        self._activate_targets(now_s)
+        self._silence.note_timer(now_s)
+        self._silence.acknowledge(now_s)
+        for unanswered in self._silence.take_silent(now_s):
+            self._fail_over(unanswered, now_s)
+        if self._activation.has_changed(now_s):
+            self._apply_shards(sorted(self.admissions), now_s)
         for admission in list(self.admissions.values()):
             self._decide_queued(admission, now_s)
         self.warmups.publish(self.admissions, now_s)
@@ -213,7 +177,7 @@
         if listener is None:
             self._state.counters.unknown_service += 1
             return
-        self._owed.add(header.sender)
+        self._silence.owe(header.sender)
         if header.flags & _FAILOVER:
             self._check_owner(listener.service, segment[FLOW_KEY], now_s)
         zone = self._zone_of(header)
@@ -249,7 +213,7 @@
             # A duplicate of an answer after which the flow was opened.
             self._repeat(segment, binding.route)
             return
-        opening = _Opening(segment, self._zone_of(header), now_s)
+        opening = Opening(segment, self._zone_of(header), now_s)
         self._open(segment[FLOW_KEY], opening, listener, now_s)
 
     def on_replicate(
@@ -257,7 +221,7 @@
     ) -> None:
         """Record the target of a flow and pass the SYN on."""
         state = self._state
-        self._owed.add(header.sender)
+        self._silence.owe(header.sender)
         key = segment[FLOW_KEY]
         route = state.routes.resolve(
             header.target,
@@ -281,7 +245,7 @@
         if header.position == _BROADCAST:
             return
         homes = state.homes(route.listener.service, key)
-        opening = _Opening(segment, state.identity.zone, now_s, route)
+        opening = Opening(segment, state.identity.zone, now_s, route)
         self._pass_on(opening, route, homes, header.position + 1)
 
     def replace_opening(
@@ -426,11 +390,11 @@
         hops: int,
         now_s: float,
     ) -> None:
-        self._note_pause(now_s)
+        self._silence.note_pause(now_s)
         state = self._state
         key = segment[FLOW_KEY]
         shard = state.shard(listener.service, key)
-        opening = _Opening(segment, zone, now_s)
+        opening = Opening(segment, zone, now_s)
         owner = self._acting_owner(shard)
         if owner is None or hops > MAX_OPEN_HOPS:
             self._act_as_owner(shard, now_s)
@@ -440,14 +404,9 @@
         homes = state.views.current.homes(shard)
         if homes and owner.name != homes[0].name:
             flags |= _FAILOVER
-        self._await(owner, opening)
+        self._silence.expect(owner, opening)
         state.send(owner, Kind.OPEN, segment, position=hops, flags=flags)
 
-    def _await(self, member: Member, opening: _Opening) -> None:
-        """Expect a sign of life of a member that gets an opening segment."""
-        sent = self._unacknowledged.setdefault(member.name, deque())
-        sent.append(opening)
-
     def _acting_owner(self, shard: ShardKey) -> Member | None:
         """Return the other instance that decides, or None if it is this."""
         state = self._state
@@ -481,31 +440,7 @@
                 return
             state.suspects.add(home.name)
 
-    def _acknowledge(self, now_s: float) -> None:
-        """Show the senders of opening segments that this home is alive.
-
-        One datagram in each period answers all segments of a sender.
-        """
-        if now_s - self._acknowledged_s < ACKNOWLEDGE_PERIOD_S:
-            return
-        self._acknowledged_s = now_s
-        for sender_id in self._owed:
-            sender = self._state.peers.get(sender_id)
-            if sender is not None:
-                self._state.send(sender, Kind.HELLO)
-        self._owed.clear()
-
-    def _suspect_silent(self, now_s: float) -> None:
-        """Send the SYNs that silent homes got by another way."""
-        for name, sent in list(self._unacknowledged.items()):
-            if not sent or now_s - sent[0].since_s < SUSPECT_S:
-                continue
-            self._state.suspects.add(name)
-            self._unacknowledged.pop(name)
-            for opening in sent:
-                self._fail_over(opening, now_s)
-
-    def _fail_over(self, opening: _Opening, now_s: float) -> None:
+    def _fail_over(self, opening: Opening, now_s: float) -> None:
         """Send a SYN again, once; after that its caller repeats it."""
         if opening.route is not None:
             self._repeat(opening.segment, opening.route)
@@ -519,15 +454,7 @@
         shard = self._state.shard(listener.service, key)
         owner = self._acting_owner(shard)
         if owner is not None:
-            self._unacknowledged[owner.name].pop()
-
-    def _note_pause(self, now_s: float) -> None:
-        """Detect that the process did not run, as after SIGSTOP."""
-        polled_s = self._polled_s
-        if polled_s is not None and now_s - polled_s > SUSPECT_S:
-            self._cautious_until_s = now_s + CAUTIOUS_S
-            self._polled_s = now_s
-            self._unacknowledged.clear()
+            self._silence.forget_last(owner)
 
     def _return_shard(
         self, shard: ShardKey, owner: Member, now_s: float
@@ -559,22 +486,14 @@
 
     def _give_up(self, shard: ShardKey, now_s: float) -> None:
         admission = self.admissions.pop(shard)
-        limit_s = now_s - TARGET_ACTIVATION_S
-        inactive = frozenset(
-            name for name, seen_s in self._seen_s.items() if seen_s > limit_s
-        )
-        service = self._state.routes.services.get(shard.service)
-        if service is not None:
-            names = {
-                target.name for target in targets_of_shard(service, shard.index)
-            }
-            inactive &= names
+        inactive = self._activation.inactive_names(shard, now_s)
+        if shard.service in self._state.routes.services:
             self.warmups.hand_over(shard, admission, inactive, now_s)
 
     def _open_or_look_up(
         self,
         key: bytes,
-        opening: _Opening,
+        opening: Opening,
         listener: ListenerState,
         now_s: float,
     ) -> None:
@@ -624,7 +543,7 @@
         """Return another instance that may have opened the flow."""
         state = self._state
         current = state.homes(service, key)
-        if now_s < self._cautious_until_s:
+        if self._silence.is_cautious(now_s):
             others = [home for home in current if not state.is_self(home)]
             return others[0] if others else None
         for view in state.views.earlier:
@@ -640,7 +559,7 @@
     def _open(
         self,
         key: bytes,
-        opening: _Opening,
+        opening: Opening,
         listener: ListenerState,
         now_s: float,
     ) -> None:
@@ -675,7 +594,7 @@
         self,
         decision: Admitted | Queued | Refused,
         key: bytes,
-        opening: _Opening,
+        opening: Opening,
         now_s: float,
     ) -> None:
         # A singledispatchmethod builds a wrapper at each call.
@@ -687,7 +606,7 @@
             self._refuse(key, opening, decision.reason)
 
     def _admit(
-        self, decision: Admitted, key: bytes, opening: _Opening, now_s: float
+        self, decision: Admitted, key: bytes, opening: Opening, now_s: float
     ) -> None:
         state = self._state
         listener = self._listener(opening.segment)
@@ -730,7 +649,7 @@
             state.monitor.check_limit(decision.target.name, in_use, limit)
 
     def _refuse(
-        self, key: bytes, opening: _Opening, reason: RefusedReason
+        self, key: bytes, opening: Opening, reason: RefusedReason
     ) -> None:
         self._state.counters.count_refusal(reason.value)
         self._openings.pop(key, None)
@@ -742,7 +661,7 @@
 
     def _pass_on(
         self,
-        opening: _Opening,
+        opening: Opening,
         route: Route,
         homes: tuple[Member, ...],
         hops: int,
@@ -755,7 +674,7 @@
             following = names.index(state.identity.name) + 1
         if following < len(names) and hops < HOME_COUNT - 1:
             member = homes[following]
-            self._await(member, opening)
+            self._silence.expect(member, opening)
             state.send(
                 member,
                 Kind.REPLICATE,
@@ -801,56 +720,19 @@
             translate_destination(segment, route.to_target),
         )
 
-    def _note_targets(self, now_s: float) -> None:
-        names = {
-            target.name
-            for service in self._state.routes.services.values()
-            for target in service.targets
-            if target.zone not in self._state.routes.zones_out
-        }
-        is_first = not self._seen_s
-        seen_s = now_s - TARGET_ACTIVATION_S if is_first else now_s
-        self._seen_s = {name: self._seen_s.get(name, seen_s) for name in names}
-        self._activated = self._count_active(now_s)
-
-    def _count_active(self, now_s: float) -> int:
-        limit_s = now_s - TARGET_ACTIVATION_S
-        return sum(seen_s <= limit_s for seen_s in self._seen_s.values())
-
-    def _activate_targets(self, now_s: float) -> None:
-        if self._activated == len(self._seen_s):
-            return
-        active = self._count_active(now_s)
-        if active != self._activated:
-            self._activated = active
-            self._apply_shards(sorted(self.admissions), now_s)
-
     def _apply_shards(self, shards: list[ShardKey], now_s: float) -> None:
         """Apply targets to shards, and count the flows of new ones."""
-        taken_over = set(shards) - set(self.admissions)
-        services = {name: self._active_part(name, now_s) for name, _ in shards}
+        taken_over = sorted(set(shards) - set(self.admissions))
+        services = {
+            name: self._activation.active_part(name, now_s)
+            for name, _ in shards
+        }
         for shard in shards:
             self._apply_shard(shard, services[shard.service], now_s)
         if taken_over:
             restored = {new: self.admissions[new] for new in taken_over}
             restore_shards(self._state, restored, now_s)
 
-    def _active_part(self, name: str, now_s: float) -> Service:
-        """Return a service without targets that may not get flows yet."""
-        service = self._state.routes.services[name]
-        active = tuple(
-            target
-            for target in service.targets
-            if self._is_active(target, now_s)
-        )
-        return msgspec.structs.replace(service, targets=active)
-
-    def _is_active(self, target: Target, now_s: float) -> bool:
-        if target.zone in self._state.routes.zones_out:
-            return True
-        seen_s = self._seen_s.get(target.name, now_s)
-        return now_s - seen_s >= TARGET_ACTIVATION_S
-
     def _apply_shard(
         self, shard: ShardKey, active: Service, now_s: float
     ) -> None:
@@ -865,7 +747,9 @@
             shard.index,
         )
         targets = tuple(
-            target for target in declared if self._is_active(target, now_s)
+            target
+            for target in declared
+            if self._activation.is_active(target, now_s)
         )
         admission.apply(active, targets, routes.zones_out, now_s)
         if is_new:
