Model the platform's list for zones without instances in the measurements

The fake of the control process knew contacts only, while the shipped one takes a zone that the platform's list shows empty as reachable after a store read, so segments to the zone's targets were dropped for good.

Ruled out: lost flow entries (unknown_flow was 1; unreachable was 338).

Change: the fake reports such a zone as reachable 5 s after it is empty, the interval in which control processes read the list while a zone is silent.

The rule itself has unit tests only (siskinproxy.instances.reachability).

--- a/siskinproxy/measure/world.py
+++ b/siskinproxy/measure/world.py
@@ -34,6 +34,8 @@
 _TIMER_PERIOD_S: Final = 0.01
 _LOCAL_LATENCY_S: Final = 0.0001
 _KEEPALIVE_S: Final = 0.5
+#: Control processes read the platform's list this often while a zone is silent.
+_LIST_LAG_S: Final = 5.0
 #: Datagrams that the socket of a frozen process holds.
 _SOCKET_BUFFER: Final = 500
 #: UDP and IPv4 headers of a datagram.
@@ -176,6 +178,9 @@
         self.targets: dict[str, TargetServer] = {}
         self.former_targets: list[TargetServer] = []
         self.target_zones: dict[str, str] = {}
+        #: Zones without instances; the platform's list, once it shows this,
+        #: lets the control processes report the zone as reachable.
+        self.empty_since_s: dict[str, float] = {}
         #: Zone of the target that got the last SYN of a caller's endpoint.
         self.opened_in: dict[Endpoint, str] = {}
         self.callers: dict[Endpoint, RequestFlow | StreamFlow] = {}
@@ -290,6 +295,7 @@
         """Start an instance and let its peers learn of it."""
         instance = self.add_instance(name, zone)
         self.members += (instance.member,)
+        self.empty_since_s.pop(zone, None)
         self.schedule(0.5, self._enter_fabric, name)
         self.announce(first=name)
 
@@ -316,6 +322,12 @@
         self.members = tuple(
             member for member in self.members if member.name != name
         )
+        populated = {member.zone for member in self.members}
+        self.empty_since_s = {
+            zone.name: self.empty_since_s.get(zone.name, self.now_s)
+            for zone in self.cfg.zones
+            if zone.name not in populated
+        }
         self.announce()
 
     def configure(self, cfg: Configuration) -> None:
@@ -555,7 +567,12 @@
 
     def _zone_sight(self, instance: FakeInstance) -> dict[str, float]:
         own_zone = instance.member.zone
-        return {
+        sight = {
+            zone: float(0)
+            for zone, since_s in self.empty_since_s.items()
+            if self.now_s - since_s >= _LIST_LAG_S
+        }
+        return sight | {
             other.member.zone: float(0)
             for other in self.instances.values()
             if other.is_alive
