Separate the reader of settings files, log lines and address checks

Cause: the entry process for the users' platform needs these three, and importing them from balancer and operators loads grpclib and logbook, which takes 60 ms of processor time each time a process starts.

Change: siskinproxy.settings_file, siskinproxy.log_lines and siskinproxy.addresses hold what balancer.settings, balancer.logs and operators.validation held; the settings of a section still live in balancer.settings. A new error type names a lost store history.

Ruled out: a second reader for the new process.

--- a/siskinproxy/balancer/__init__.py
+++ b/siskinproxy/balancer/__init__.py
@@ -1,6 +1,5 @@
 """Processes of an instance and the state that they exchange."""
 
-from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.balancer.settings import (
     InstanceSettings,
     Limits,
@@ -8,6 +7,7 @@
     run_or_exit,
 )
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
+from siskinproxy.logs import EventLog, set_up_logs
 
 __all__ = (
     'EventLog',
--- a/siskinproxy/balancer/control_link.py
+++ b/siskinproxy/balancer/control_link.py
@@ -15,9 +15,9 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.balancer.snapshot import RoutingSnapshot
 from siskinproxy.errors import LinkFormatError
+from siskinproxy.logs import EventLog
 
 __all__ = (
     'MAX_FRAME_BYTES',
--- a/siskinproxy/balancer/control_process.py
+++ b/siskinproxy/balancer/control_process.py
@@ -22,7 +22,6 @@
     Keepalive,
 )
 from siskinproxy.balancer.control_metrics import ControlMetrics, MetricsPage
-from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.balancer.settings import (
     InstanceSettings,
     read_settings,
@@ -32,6 +31,7 @@
 from siskinproxy.balancer.store_source import StoreSource
 from siskinproxy.errors import SettingsError
 from siskinproxy.instances.membership import TIMER_PERIOD_S
+from siskinproxy.logs import EventLog, set_up_logs
 from siskinproxy.operators.admin import AdminServer, AdminView
 from siskinproxy.operators.admin_setup import make_admin_server
 from siskinproxy.store.client import GrpcKeyValueClient
--- a/siskinproxy/balancer/packet_process.py
+++ b/siskinproxy/balancer/packet_process.py
@@ -20,7 +20,6 @@
     SnapshotMessage,
 )
 from siskinproxy.balancer.engine import PacketEngine
-from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.balancer.packet_metrics import (
     PacketMetrics,
     PacketMetricsPage,
@@ -33,6 +32,7 @@
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
 from siskinproxy.errors import InvariantViolation
 from siskinproxy.instances.tunnel import TUNNEL_VERSION
+from siskinproxy.logs import EventLog, set_up_logs
 
 __all__ = ('PacketProcess', 'main')
 
--- a/siskinproxy/balancer/store_source.py
+++ b/siskinproxy/balancer/store_source.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from siskinproxy.balancer.control_engine import ControlEngine, ControlStep
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.balancer.settings import Identity
 from siskinproxy.errors import InvariantViolation, StoreError
+from siskinproxy.logs import EventLog
 from siskinproxy.store.client import KeyValue, KeyValueClient
 from siskinproxy.store.head import decode_head, fetch_sections, head_key
 from siskinproxy.store.head_reader import HeadReader
--- a/siskinproxy/balancer/tests/test_logs.py
+++ b/siskinproxy/balancer/tests/test_logs.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from siskinproxy.balancer.logs import EventLog, format_pairs, set_up_logs
+from siskinproxy.logs import EventLog, format_pairs, set_up_logs
 
 HEAD = re.compile(
     r'time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z level=(\w+) '
--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -35,6 +35,7 @@
     'StoreConflictError',
     'StoreDataError',
     'StoreError',
+    'StoreHistoryLostError',
     'StoreOutcomeUnknownError',
     'StoreRateLimitError',
     'StoreUnavailableError',
@@ -451,6 +452,10 @@
     """The store rejected the call because its rate limit is exceeded."""
 
 
+class StoreHistoryLostError(StoreError):
+    """The store does not hold the changes after a revision any more."""
+
+
 class StoreConflictError(StoreError):
     """A compare-and-swap found another version than expected."""
 
--- a/siskinproxy/balancer/logs.py
+++ b/siskinproxy/logs.py
@@ -1,15 +1,13 @@
 """Log set-up: one line of key=value pairs per event on stderr."""
 
-import json
 import sys
-from typing import Any, Final, TextIO
+from typing import Any, TextIO
 
 import logbook
 
-__all__ = ('EventLog', 'format_pairs', 'set_up_logs')
+from siskinproxy.log_lines import TIME_FORMAT, format_pairs
 
-_TIME_FORMAT: Final = '%Y-%m-%dT%H:%M:%S.%fZ'
-_QUOTED: Final = frozenset(' "=\\')
+__all__ = ('EventLog', 'format_pairs', 'set_up_logs')
 
 
 class EventLog:
@@ -96,38 +94,10 @@
     return handler
 
 
-def format_pairs(pairs: dict[str, Any]) -> str:
-    """Format pairs as ``key=value`` separated by spaces.
-
-    Parameters
-    ----------
-    pairs : dict of str to object
-        Keys and values. Empty values and values with spaces, quotes, equals
-        signs or control characters are quoted as JSON strings.
-
-    Returns
-    -------
-    str
-        One line.
-    """
-    return ' '.join(f'{key}={_format(value)}' for key, value in pairs.items())
-
-
 def _format_record(record: logbook.LogRecord, handler: Any) -> str:
     head = {
-        'time': record.time.strftime(_TIME_FORMAT),
+        'time': record.time.strftime(TIME_FORMAT),
         'level': record.level_name.lower(),
         'component': record.channel,
     }
     return f'{format_pairs(head)} {record.message}'
-
-
-def _format(value: Any) -> str:
-    if value is None or isinstance(value, bool):
-        return str(value).lower()
-    text = str(value)
-    if not text.isprintable():
-        return json.dumps(text)
-    if not text or _QUOTED.intersection(text):
-        return json.dumps(text, ensure_ascii=False)
-    return text
--- a/siskinproxy/measure/bench_control.py
+++ b/siskinproxy/measure/bench_control.py
@@ -24,9 +24,9 @@
 from siskinproxy.balancer.control_engine import ControlStep
 from siskinproxy.balancer.control_link import ControlLinkServer, CounterReport
 from siskinproxy.balancer.control_process import ControlProcess
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.balancer.settings import InstanceSettings, read_settings
 from siskinproxy.instances.gossip import UDP_OVERHEAD_BYTES
+from siskinproxy.logs import EventLog
 from siskinproxy.measure.bench_relays import resident_bytes
 from siskinproxy.measure.flow_samples import make_configuration
 from siskinproxy.operators.configuration import Configuration
--- a/siskinproxy/measure/bench_relays.py
+++ b/siskinproxy/measure/bench_relays.py
@@ -12,9 +12,9 @@
 from gevent import monkey
 from gevent.hub import get_hub
 
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.balancer.packet_process import PacketProcess
 from siskinproxy.balancer.settings import InstanceSettings, read_settings
+from siskinproxy.logs import EventLog
 from siskinproxy.measure.flow_samples import (
     SampleFlows,
     adopt_flows,
--- a/siskinproxy/operators/admin.py
+++ b/siskinproxy/operators/admin.py
@@ -11,13 +11,13 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.errors import (
     ConfigurationFormatError,
     SiskinproxyError,
     StoreError,
 )
 from siskinproxy.instances.configuration_state import ConfigurationInForce
+from siskinproxy.logs import EventLog
 from siskinproxy.operators import admin_messages as messages
 from siskinproxy.operators.changes import (
     Change,
--- a/siskinproxy/operators/admin_setup.py
+++ b/siskinproxy/operators/admin_setup.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from functools import partial
 
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.balancer.settings import InstanceSettings
+from siskinproxy.logs import EventLog
 from siskinproxy.operators.admin import AdminServer, AdminService, AdminView
 from siskinproxy.operators.changes import ChangeExecutor
 from siskinproxy.operators.retirement import retire
--- a/siskinproxy/operators/changes.py
+++ b/siskinproxy/operators/changes.py
@@ -8,7 +8,6 @@
 import msgspec
 import xxhash
 
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.errors import (
     ConfigurationError,
     ConfigurationFormatError,
@@ -18,6 +17,7 @@
     UnknownTargetError,
     UnknownZoneError,
 )
+from siskinproxy.logs import EventLog
 from siskinproxy.operators.configuration import Configuration
 from siskinproxy.operators.differences import (
     with_target_draining,
--- a/siskinproxy/operators/tests/admin_region.py
+++ b/siskinproxy/operators/tests/admin_region.py
@@ -9,9 +9,9 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
-from siskinproxy.balancer.logs import EventLog
 from siskinproxy.errors import StoreOutcomeUnknownError
 from siskinproxy.instances.configuration_state import ConfigurationInForce
+from siskinproxy.logs import EventLog
 from siskinproxy.operators.admin import AdminServer, AdminService, AdminView
 from siskinproxy.operators.changes import ChangeExecutor, read_running
 from siskinproxy.operators.progress import InstanceState
--- a/siskinproxy/operators/tests/test_validation.py
+++ b/siskinproxy/operators/tests/test_validation.py
@@ -4,6 +4,7 @@
 from msgspec.structs import replace
 
 from siskinproxy import errors
+from siskinproxy.addresses import is_host_address
 from siskinproxy.operators import (
     Listener,
     Service,
@@ -12,7 +13,6 @@
     validate,
 )
 from siskinproxy.operators.tests import samples
-from siskinproxy.operators.validation import is_host_address
 
 
 def _with_listener(**changes):
--- a/siskinproxy/operators/validation.py
+++ b/siskinproxy/operators/validation.py
@@ -1,12 +1,12 @@
 """Rules that a configuration must keep before it is accepted."""
 
-import ipaddress
 import re
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
+from siskinproxy.addresses import is_host_address
 from siskinproxy.errors import (
     ConfigurationError,
     DuplicateListenerError,
@@ -31,7 +31,6 @@
     'ADDRESS_REUSE_DELAY_S',
     'LISTENER_BOUNDS',
     'TARGET_BOUNDS',
-    'is_host_address',
     'raise_if_invalid',
     'validate',
 )
@@ -63,7 +62,6 @@
 # The region is part of store keys and all names appear in log lines and
 # metric labels, so separators and white space are excluded.
 _NAME: Final = re.compile(r'\w[\w.-]{0,62}')
-_BROADCAST: Final = ipaddress.IPv4Address('255.255.255.255')
 
 
 class _Endpoint(NamedTuple):
@@ -71,27 +69,6 @@
     port: int
 
 
-def is_host_address(text: str) -> bool:
-    """Tell whether a text is the dotted IPv4 address of a host.
-
-    Parameters
-    ----------
-    text : str
-        Text to check.
-
-    Returns
-    -------
-    bool
-        False for the unspecified, broadcast and multicast addresses too.
-    """
-    try:
-        address = ipaddress.IPv4Address(text)
-    except ipaddress.AddressValueError:
-        return False
-    reserved = address.is_unspecified or address.is_multicast
-    return not reserved and address != _BROADCAST
-
-
 def validate(
     cfg: Configuration,
     previous: Configuration | None = None,
--- /dev/null
+++ b/siskinproxy/settings_file.py
@@ -0,0 +1,391 @@
+"""Reader of TOML settings files with typed errors for wrong entries."""
+
+import sys
+import tomllib
+from collections.abc import Callable, Iterator, Mapping
+from typing import (
+    Annotated,
+    Any,
+    Final,
+    NamedTuple,
+    ParamSpec,
+    Protocol,
+    TypeVar,
+    get_args,
+    get_origin,
+    get_type_hints,
+    runtime_checkable,
+)
+
+import msgspec
+
+from siskinproxy.addresses import is_host_address
+from siskinproxy.errors import EXIT_SETTINGS, SettingsError
+
+__all__ = (
+    'ENDPOINT_FORM',
+    'HOST_FORM',
+    'OPTIONAL_HOST_FORM',
+    'CheckedSettings',
+    'Conflict',
+    'SettingsField',
+    'describe_key',
+    'describe_type',
+    'iterate_fields',
+    'read_settings',
+    'run_or_exit',
+)
+
+_Settings = TypeVar('_Settings', bound=msgspec.Struct)
+_Result = TypeVar('_Result')
+_Arguments = ParamSpec('_Arguments')
+
+#: A longer value is cut in error messages, so that they stay one short line.
+_SHOWN_CHARACTERS: Final = 80
+_WHOLE_FILE: Final = '-'
+
+# Keys of `Meta.extra`.
+_UNIT: Final = 'unit'
+_FORMAT: Final = 'format'
+_SECRET: Final = 'secret'
+
+#: Format of the address of a host.
+HOST_FORM: Final = 'IPv4 address'
+#: Format of an address that may be left out.
+OPTIONAL_HOST_FORM: Final = 'IPv4 address or empty'
+#: Format of an endpoint, or of each endpoint of a list.
+ENDPOINT_FORM: Final = 'IPv4 address:port'
+
+_MAX_PORT: Final = 65535
+
+
+def describe_key(
+    description: str,
+    unit: str = '',
+    *,
+    ge: float | None = None,
+    le: float | None = None,
+    min_length: int | None = None,
+    form: str = '',
+    secret: bool = False,
+) -> msgspec.Meta:
+    """Return the metadata of a key.
+
+    Parameters
+    ----------
+    description : str
+        Meaning of the key.
+    unit : str
+        Unit of the value; empty for a plain number or text.
+    ge : float, optional
+        Lowest value.
+    le : float, optional
+        Highest value.
+    min_length : int, optional
+        Least number of characters.
+    form : str
+        Format of a text, such as ``ENDPOINT_FORM``; empty for any text.
+    secret : bool
+        Whether messages must not show the value.
+
+    Returns
+    -------
+    msgspec.Meta
+        Metadata for ``Annotated``.
+    """
+    extra = {_UNIT: unit, _FORMAT: form, _SECRET: secret}
+    return msgspec.Meta(
+        ge=ge,
+        le=le,
+        min_length=min_length,
+        description=description,
+        extra=extra,
+    )
+
+
+class Conflict(NamedTuple):
+    """Two keys whose values do not fit together.
+
+    Parameters
+    ----------
+    key : str
+        Dotted key that has to be changed.
+    expected : str
+        What the value has to be.
+    found : str
+        What the value is.
+    """
+
+    key: str
+    expected: str
+    found: str
+
+
+@runtime_checkable
+class CheckedSettings(Protocol):
+    """Settings whose values are also checked against each other."""
+
+    def find_conflicts(self) -> Iterator[Conflict]:
+        """Yield values that do not fit together."""
+
+
+class SettingsField(NamedTuple):
+    """Key of a settings struct with its metadata.
+
+    Parameters
+    ----------
+    name : str
+        Key within its section.
+    kind : type
+        Type of the value without annotations.
+    meta : msgspec.Meta
+        Bounds, description and unit.
+    default : object
+        Default value, or ``msgspec.NODEFAULT`` for a required key.
+    """
+
+    name: str
+    kind: Any
+    meta: msgspec.Meta
+    default: Any
+
+    @property
+    def unit(self) -> str:
+        """Unit of the value; empty for a plain number or text."""
+        return (self.meta.extra or {}).get(_UNIT, '')
+
+    @property
+    def form(self) -> str:
+        """Format of a text; empty if any text is allowed."""
+        return (self.meta.extra or {}).get(_FORMAT, '')
+
+    @property
+    def is_secret(self) -> bool:
+        """Whether messages must not show the value."""
+        return (self.meta.extra or {}).get(_SECRET, False)
+
+    @property
+    def is_section(self) -> bool:
+        """Whether the value is a section with keys of its own."""
+        return isinstance(self.kind, type) and issubclass(
+            self.kind,
+            msgspec.Struct,
+        )
+
+
+def iterate_fields(settings: type[msgspec.Struct]) -> Iterator[SettingsField]:
+    """Yield the keys of a settings struct in order of declaration.
+
+    Parameters
+    ----------
+    settings : type of msgspec.Struct
+        Settings struct.
+
+    Yields
+    ------
+    SettingsField
+        Key with its metadata.
+    """
+    hints = get_type_hints(settings, include_extras=True)
+    for field in msgspec.structs.fields(settings):
+        kind = hints[field.name]
+        meta = msgspec.Meta()
+        if get_origin(kind) is Annotated:
+            kind, meta = get_args(kind)
+        default = field.default
+        if field.default_factory is not msgspec.NODEFAULT:
+            default = field.default_factory()
+        yield SettingsField(field.name, kind, meta, default)
+
+
+def describe_type(field: SettingsField) -> str:
+    """Describe the values that a key accepts.
+
+    Parameters
+    ----------
+    field : SettingsField
+        Key of a settings struct.
+
+    Returns
+    -------
+    str
+        Such as ``integer from 1 to 65535``.
+    """
+    if field.is_section:
+        return 'section'
+    noun = _noun(field)
+    if field.meta.min_length:
+        noun = f'non-empty {noun}'
+    if field.meta.ge is not None:
+        noun = f'{noun} from {field.meta.ge} to {field.meta.le}'
+    return f'{noun} {field.unit}'.rstrip()
+
+
+def read_settings(path: str, settings: type[_Settings]) -> _Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        TOML file.
+    settings : type of msgspec.Struct
+        Struct whose fields are the sections or keys.
+
+    Returns
+    -------
+    msgspec.Struct
+        Instance of `settings`.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, or a key is unknown, missing, of the
+        wrong type, out of bounds or no IPv4 address, or two values do not
+        fit together.
+    """
+    found = _convert(path, '', _load(path), settings)
+    if isinstance(found, CheckedSettings):
+        conflict = next(found.find_conflicts(), None)
+        if conflict is not None:
+            raise SettingsError(path, *conflict)
+    return found
+
+
+def run_or_exit(
+    function: Callable[_Arguments, _Result],
+    *args: _Arguments.args,
+    **kwargs: _Arguments.kwargs,
+) -> _Result:
+    """Call a function and end the process if settings are wrong.
+
+    Parameters
+    ----------
+    function : callable
+        Function that may raise `SettingsError`.
+    *args : object
+        Positional arguments of the function.
+    **kwargs : object
+        Keyword arguments of the function.
+
+    Returns
+    -------
+    object
+        Result of the function.
+
+    Raises
+    ------
+    SystemExit
+        With exit code 2, after one line on stderr.
+    """
+    try:
+        return function(*args, **kwargs)
+    except SettingsError as exc:
+        sys.stderr.write(f'error=settings {exc}\n')
+        sys.exit(EXIT_SETTINGS)
+
+
+def _load(path: str) -> dict[str, Any]:
+    try:
+        with open(path, 'rb') as stream:
+            return tomllib.load(stream)
+    except OSError as exc:
+        reason = exc.strerror or type(exc).__name__
+        raise SettingsError(
+            path,
+            _WHOLE_FILE,
+            'readable file',
+            reason,
+        ) from exc
+    except ValueError as exc:
+        # TOMLDecodeError, or UnicodeDecodeError for a file of other encoding.
+        raise SettingsError(
+            path,
+            _WHOLE_FILE,
+            'TOML document in UTF-8',
+            _shown(str(exc)),
+        ) from exc
+
+
+def _convert(
+    path: str,
+    prefix: str,
+    table: Mapping[str, Any],
+    settings: type[_Settings],
+) -> _Settings:
+    fields = {field.name: field for field in iterate_fields(settings)}
+    unknown = [key for key in table if key not in fields]
+    if unknown:
+        first = f'{prefix}{_shown(unknown[0])}'
+        known = f'one of {", ".join(fields)}'
+        raise SettingsError(path, first, known, 'unknown key')
+    values: dict[str, Any] = {}
+    for name, field in fields.items():
+        key = f'{prefix}{name}'
+        if name in table:
+            values[name] = _convert_value(path, key, table[name], field)
+        elif field.default is msgspec.NODEFAULT:
+            raise SettingsError(path, key, describe_type(field), 'nothing')
+    return settings(**values)
+
+
+def _convert_value(
+    path: str,
+    key: str,
+    value: Any,
+    field: SettingsField,
+) -> Any:
+    if field.is_section and isinstance(value, dict):
+        return _convert(path, f'{key}.', value, field.kind)
+    try:
+        found = msgspec.convert(value, type=Annotated[field.kind, field.meta])
+    except msgspec.ValidationError as exc:
+        raise _wrong_value(path, key, value, field) from exc
+    if not _has_form(found, field.form):
+        raise _wrong_value(path, key, value, field)
+    return found
+
+
+def _wrong_value(
+    path: str,
+    key: str,
+    value: Any,
+    field: SettingsField,
+) -> SettingsError:
+    # The file itself may hold the secret in clear, a log collector must not.
+    found = type(value).__name__ if field.is_secret else _shown(value)
+    return SettingsError(path, key, describe_type(field), found)
+
+
+def _has_form(value: Any, form: str) -> bool:
+    if form == HOST_FORM:
+        return is_host_address(value)
+    if form == OPTIONAL_HOST_FORM:
+        return not value or is_host_address(value)
+    if form == ENDPOINT_FORM:
+        endpoints = (value,) if isinstance(value, str) else value
+        return all(_is_endpoint(each) for each in endpoints)
+    return True
+
+
+def _is_endpoint(text: str) -> bool:
+    address, _, port = text.rpartition(':')
+    is_number = port.isascii() and port.isdecimal() and len(port) <= 5
+    return (
+        is_host_address(address) and is_number and 1 <= int(port) <= _MAX_PORT
+    )
+
+
+def _noun(field: SettingsField) -> str:
+    if field.kind is str:
+        return field.form or 'text'
+    nouns = {int: 'integer', float: 'number', bool: 'true or false'}
+    return nouns.get(field.kind, f'list of {field.form or "text"}')
+
+
+def _shown(value: Any) -> str:
+    text = value if isinstance(value, str) else repr(value)
+    escaped = text.encode('unicode_escape').decode('ascii')
+    quoted = escaped.replace('"', r'\"')
+    if len(quoted) > _SHOWN_CHARACTERS:
+        return f'{quoted[:_SHOWN_CHARACTERS]}...'
+    return quoted
--- a/siskinproxy/standins/caller.py
+++ b/siskinproxy/standins/caller.py
@@ -17,8 +17,8 @@
 from gevent import socket
 from hdrh.histogram import HdrHistogram
 
-from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.fabric.segments import Endpoint
+from siskinproxy.logs import EventLog, set_up_logs
 from siskinproxy.standins.caller_flow import (
     Outcome,
     RequestFlow,
--- a/siskinproxy/standins/demo.py
+++ b/siskinproxy/standins/demo.py
@@ -18,8 +18,8 @@
 import msgspec
 
 import siskinproxy
-from siskinproxy.balancer.logs import format_pairs
 from siskinproxy.errors import SiskinproxyError
+from siskinproxy.logs import format_pairs
 from siskinproxy.operators.configuration import Configuration
 from siskinproxy.operators.differences import (
     with_target_draining,
--- a/siskinproxy/standins/fabric.py
+++ b/siskinproxy/standins/fabric.py
@@ -16,7 +16,6 @@
 import gevent
 import msgspec
 
-from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.fabric.segments import (
     FLAGS_OFFSET,
     RST,
@@ -24,6 +23,7 @@
     is_ipv4_tcp,
     unpack_endpoint,
 )
+from siskinproxy.logs import EventLog, set_up_logs
 from siskinproxy.standins.control_port import ControlServer
 from siskinproxy.standins.process import (
     MAX_DATAGRAM_BYTES,
--- a/siskinproxy/standins/target.py
+++ b/siskinproxy/standins/target.py
@@ -11,8 +11,8 @@
 import gevent
 import msgspec
 
-from siskinproxy.balancer.logs import EventLog, set_up_logs
 from siskinproxy.fabric.segments import Endpoint
+from siskinproxy.logs import EventLog, set_up_logs
 from siskinproxy.standins.control_port import ControlServer
 from siskinproxy.standins.process import (
     MAX_DATAGRAM_BYTES,
