Serve the users' platform with an entry process that routes by tokens

Cause: the homes of the packet process need three instances to record each flow, copies after each change of members, and a control process on every instance. The platform returns a 32-bit token with every packet and lists the targets in its store, so the target of an established flow can be read from the packet at any instance.

Ruled out: connecting by gevent's create_connection (it starts a thread for the resolver: ready 125 ms after the start of the process, 32 ms without), data classes by dataclasses (importing and creating them took 12 ms of 68 ms).

--- /dev/null
+++ b/siskinproxy/entry/engine.py
@@ -0,0 +1,380 @@
+"""Packet decisions of an entry process, without sockets and clocks."""
+
+from collections import Counter, deque
+from typing import Any, Final, Protocol
+
+import msgspec
+
+from siskinproxy.entry.directory import KnownTarget, TargetDirectory
+from siskinproxy.entry.flows import FlowTable, OpenedFlow
+from siskinproxy.entry.packets import (
+    FIN,
+    RST,
+    SYN,
+    PacketCodec,
+    PacketHead,
+)
+from siskinproxy.entry.placing import Placement, PlacementReason, Placer
+from siskinproxy.entry.records import NO_TOKEN, Address
+from siskinproxy.entry.responsiveness import Responsiveness
+from siskinproxy.entry.routes import ActiveRoute, RouteTable
+
+__all__ = ('EngineTiming', 'EntryEngine', 'EventSink', 'Outbox')
+
+
+class Outbox(Protocol):
+    """Where the engine sends datagrams."""
+
+    def send(self, address: Address, datagram: bytes) -> None:
+        """Send a datagram; one that cannot be sent is lost."""
+
+
+class EventSink(Protocol):
+    """Where the engine reports decisions."""
+
+    def event(self, name: str, /, **pairs: Any) -> None:
+        """Report a decision."""
+
+
+class EngineTiming(msgspec.Struct, frozen=True):
+    """Times of the engine, in seconds.
+
+    Parameters
+    ----------
+    least_answer_s : float
+        Shortest time after which an opening counts as unanswered.
+    most_answer_s : float
+        Longest such time; less than the 200 ms after which callers send their
+        opening packet again.
+    answer_factor : float
+        Multiple of the usual time to an answer after which an opening counts
+        as unanswered.
+    pause_s : float
+        Time between two runs of the process after which it counts as paused;
+        what it missed meanwhile says nothing about targets.
+    flow_grace_s : float
+        Time after the deadline of a request at which its flow counts as ended.
+    zone_out_s : float
+        Time after which nothing is sent to a zone that is taken out.
+    dropped_route_s : float
+        Time in which open flows of a dropped route may end.
+    """
+
+    least_answer_s: float = 0.03
+    most_answer_s: float = 0.15
+    answer_factor: float = 4.0
+    pause_s: float = 0.25
+    flow_grace_s: float = 1.0
+    zone_out_s: float = 4.0
+    dropped_route_s: float = 2.0
+
+
+#: Weight of a new answer in the usual time to an answer.
+_ANSWER_WEIGHT: Final = 1 / 16
+#: Usual time to an answer before any was seen, in seconds.
+_FIRST_ANSWER_S: Final = 0.02
+
+
+class EntryEngine:
+    """Forwards packets and decides on new flows.
+
+    Parameters
+    ----------
+    codec : PacketCodec
+        Packet format.
+    directory : TargetDirectory
+        Known targets.
+    routes : RouteTable
+        Routes in force.
+    placer : Placer
+        Choice of targets.
+    responsiveness : Responsiveness
+        Evidence on silent targets.
+    outbox : Outbox
+        Where datagrams are sent.
+    events : EventSink
+        Where decisions are reported.
+    timing : EngineTiming
+        Times.
+
+    Attributes
+    ----------
+    counters : Counter
+        Packets and flows by outcome.
+    """
+
+    def __init__(
+        self,
+        codec: PacketCodec,
+        directory: TargetDirectory,
+        routes: RouteTable,
+        placer: Placer,
+        responsiveness: Responsiveness,
+        outbox: Outbox,
+        events: EventSink,
+        timing: EngineTiming | None = None,
+    ) -> None:
+        self.counters: Counter[str] = Counter()
+        self.flows = FlowTable()
+        self._codec = codec
+        self._directory = directory
+        self._routes = routes
+        self._placer = placer
+        self._responsiveness = responsiveness
+        self._outbox = outbox
+        self._events = events
+        self._timing = timing or EngineTiming()
+        self._unanswered: deque[tuple[float, OpenedFlow]] = deque()
+        self._usual_answer_s = _FIRST_ANSWER_S
+        self._ran_s: float | None = None
+
+    @property
+    def answer_limit_s(self) -> float:
+        """Time after which an opening counts as unanswered."""
+        timing = self._timing
+        limit_s = timing.answer_factor * self._usual_answer_s
+        return min(max(limit_s, timing.least_answer_s), timing.most_answer_s)
+
+    def on_packet(self, packet: bytes, now_s: float) -> None:
+        """Handle a packet of a caller.
+
+        Parameters
+        ----------
+        packet : bytes
+            Datagram from the fabric.
+        now_s : float
+            Current time in seconds.
+        """
+        head = self._codec.read_head(packet)
+        if head is None:
+            self.counters['malformed'] += 1
+            return
+        if head.flags & SYN:
+            self._on_opening(head, packet, now_s)
+        else:
+            self._on_established(head, packet, now_s)
+
+    def on_timer(self, now_s: float) -> float | None:
+        """Move openings that were not answered, and end expired flows.
+
+        Packets that have arrived must be handled before.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float or None
+            When to call again, in seconds; None if nothing is pending.
+        """
+        for expired in self.flows.expired(now_s):
+            self._end(expired)
+        if self._was_paused(now_s):
+            self._postpone(now_s)
+        while self._unanswered:
+            due_s, flow = self._unanswered[0]
+            is_open = self.flows.get(flow.key) is flow
+            if is_open and not flow.is_answered and due_s > now_s:
+                return due_s
+            self._unanswered.popleft()
+            if is_open and not flow.is_answered:
+                self._on_unanswered(flow, now_s)
+        return None
+
+    def _on_opening(
+        self, head: PacketHead, packet: bytes, now_s: float
+    ) -> None:
+        flow = self.flows.get(head.flow)
+        if flow is not None and flow.head.sequence == head.sequence:
+            self._on_copy(flow, packet, now_s)
+            return
+        if flow is not None:
+            self._end(flow)
+        route = self._routes.find(head.destination)
+        if route is None:
+            self._refuse(head, 'no_route')
+            return
+        placement = self._place(route, head.flow, now_s)
+        if placement.target is None:
+            self._refuse(head, placement.reason.value)
+            return
+        flow = OpenedFlow(head, packet, route, placement.target, now_s)
+        expires_s = now_s + route.record.deadline_s + self._timing.flow_grace_s
+        self.flows.add(flow, expires_s)
+        self._placer.note_started(placement.target)
+        self._send_opening(flow, placement, now_s)
+        self.counters['opened'] += 1
+
+    def _on_copy(self, flow: OpenedFlow, packet: bytes, now_s: float) -> None:
+        """Handle a repeated opening packet: its answer did not arrive."""
+        self.counters['copies'] += 1
+        flow.packet = packet
+        if flow.is_answered or now_s - flow.sent_s < self.answer_limit_s:
+            self._forward(flow.target, packet)
+            return
+        self._on_unanswered(flow, now_s)
+
+    def _on_unanswered(self, flow: OpenedFlow, now_s: float) -> None:
+        target = flow.target
+        if not flow.was_missed:
+            flow.was_missed = True
+            self.counters['unanswered'] += 1
+            suspected = self._responsiveness.note_missed(
+                target, flow.sent_s, now_s
+            )
+            if suspected:
+                self._events.event(
+                    'target_suspected',
+                    target=target.name,
+                    suspected=len(suspected),
+                    waited_ms=round(1000 * (now_s - flow.sent_s)),
+                )
+        tried = (*flow.tried, target)
+        placement = self._place(flow.route, flow.key, now_s, tried)
+        if placement.target is None:
+            return
+        self._placer.note_ended(target)
+        self._placer.note_started(placement.target)
+        flow.move_to(placement.target, now_s)
+        self._events.event(
+            'opening_moved',
+            flow=flow.head.caller,
+            route=flow.route.record.name,
+            earlier=target.name,
+            target=placement.target.name,
+            reason=placement.reason.value,
+            waited_ms=round(1000 * (now_s - flow.first_s)),
+        )
+        self.counters['moved'] += 1
+        self._send_opening(flow, placement, now_s)
+
+    def _send_opening(
+        self, flow: OpenedFlow, placement: Placement, now_s: float
+    ) -> None:
+        target = flow.target
+        if placement.reason is PlacementReason.PROBE:
+            self._responsiveness.note_probe(target, now_s)
+        self._placer.note_sent(target, now_s)
+        self._forward(target, flow.packet)
+        self._unanswered.append((now_s + self.answer_limit_s, flow))
+
+    def _place(
+        self,
+        route: ActiveRoute,
+        key: bytes,
+        now_s: float,
+        tried: tuple[KnownTarget, ...] = (),
+    ) -> Placement:
+        service = route.service_of(key)
+        record = self._routes.services.get(service)
+        rate_per_s = record.warmup_per_s if record else 0
+        candidates = self._directory.of_service(service)
+        return self._placer.choose(candidates, rate_per_s, now_s, tried)
+
+    def _refuse(self, head: PacketHead, reason: str) -> None:
+        """Reset a flow that is not open, so its request has not run."""
+        self.counters[f'refused_{reason}'] += 1
+        self._events.event(
+            'flow_refused',
+            flow=head.caller,
+            destination=head.destination.hex(),
+            reason=reason,
+            config=self._routes.version,
+        )
+        address = self._codec.caller_address(head)
+        self._outbox.send(address, self._codec.build_reset(head))
+
+    def _on_established(
+        self, head: PacketHead, packet: bytes, now_s: float
+    ) -> None:
+        flow = self.flows.get(head.flow)
+        target = self._target_of(head, flow, now_s)
+        if target is None:
+            return
+        out_s = self._directory.out_for_s(target.record.zone, now_s)
+        if out_s > self._timing.zone_out_s:
+            self.counters['dropped_zone_out'] += 1
+            return
+        self._forward(target, packet)
+        self.counters['forwarded'] += 1
+        if flow is not None and head.flags & (FIN | RST):
+            self._end(flow)
+
+    def _target_of(
+        self, head: PacketHead, flow: OpenedFlow | None, now_s: float
+    ) -> KnownTarget | None:
+        if flow is not None and flow.is_answered:
+            # A late answer of a target that was tried before may have changed
+            # the token that the caller returns.
+            return flow.target
+        if head.token == NO_TOKEN:
+            self.counters['dropped_no_token'] += 1
+            return None
+        target = self._resolve(head, now_s)
+        if target is None:
+            self.counters['dropped_unknown_token'] += 1
+            self._events.event(
+                'token_unknown',
+                flow=head.caller,
+                destination=head.destination.hex(),
+                token=head.token,
+                config=self._routes.version,
+            )
+            return None
+        if flow is not None:
+            self._on_answered(flow, target, now_s)
+        return target
+
+    def _resolve(self, head: PacketHead, now_s: float) -> KnownTarget | None:
+        route = self._routes.find(head.destination)
+        if route is None:
+            since_s = now_s - self._timing.dropped_route_s
+            route = self._routes.find_dropped(head.destination, since_s)
+        if route is None:
+            return None
+        return self._directory.resolve(head.token, route.services)
+
+    def _on_answered(
+        self, flow: OpenedFlow, target: KnownTarget, now_s: float
+    ) -> None:
+        flow.is_answered = True
+        flow.packet = b''
+        if target is flow.target:
+            waited_s = now_s - flow.sent_s
+            difference_s = waited_s - self._usual_answer_s
+            self._usual_answer_s += _ANSWER_WEIGHT * difference_s
+        else:
+            self._placer.note_ended(flow.target)
+            self._placer.note_started(target)
+            flow.target = target
+        if self._responsiveness.note_answered(target, now_s):
+            self._events.event('target_trusted', target=target.name)
+
+    def _end(self, flow: OpenedFlow) -> None:
+        self.flows.remove(flow)
+        self._placer.note_ended(flow.target)
+
+    def _forward(self, target: KnownTarget, packet: bytes) -> None:
+        record = target.record
+        datagram = self._codec.frame_for_target(
+            record.target_id, target.token, packet
+        )
+        self._outbox.send(record.address, datagram)
+
+    def _was_paused(self, now_s: float) -> bool:
+        last_s = self._ran_s
+        self._ran_s = now_s
+        if last_s is None or not self._unanswered:
+            return False
+        due_s = self._unanswered[0][0]
+        return now_s - max(last_s, due_s) > self._timing.pause_s
+
+    def _postpone(self, now_s: float) -> None:
+        """Give answers that arrived during a pause time to be handled."""
+        self.counters['pauses'] += 1
+        limit_s = self.answer_limit_s
+        self._unanswered = deque(
+            (now_s + limit_s, flow) for _, flow in self._unanswered
+        )
--- /dev/null
+++ b/siskinproxy/entry/process.py
@@ -0,0 +1,216 @@
+"""Entry process: forwards packets between callers and backend servers."""
+
+import random
+import signal
+import sys
+import time
+from typing import Final
+
+import gevent
+from gevent.event import Event
+
+from siskinproxy.entry.beliefs import Beliefs, Dialect
+from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
+from siskinproxy.entry.directory import DirectoryTiming, TargetDirectory
+from siskinproxy.entry.engine import EngineTiming, EntryEngine
+from siskinproxy.entry.event_log import BoundedLog
+from siskinproxy.entry.follower import PrefixFollower
+from siskinproxy.entry.packet_socket import PacketSocket
+from siskinproxy.entry.packets import PacketCodec
+from siskinproxy.entry.placing import Placer
+from siskinproxy.entry.readiness import Readiness, ReadinessServer
+from siskinproxy.entry.records import Address
+from siskinproxy.entry.responsiveness import Responsiveness
+from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.settings import EntrySettings
+from siskinproxy.entry.store import PrefixStore
+from siskinproxy.errors import SettingsError
+from siskinproxy.settings_file import read_settings
+
+__all__ = ('EntryProcess', 'parse_endpoint')
+
+#: Time between two rounds of housekeeping, in seconds.
+HOUSEKEEPING_S: Final = 0.5
+#: Time after the signal to stop in which packets are still forwarded: the
+#: fabric asks twice a second and stops delivering after two refusals.
+FORWARD_AFTER_STOP_S: Final = 2.5
+#: Part of the zone-out bound after which nothing is sent any more; the rest
+#: covers the delay of the change.
+ZONE_OUT_SHARE: Final = 0.8
+
+
+def parse_endpoint(text: str) -> Address:
+    """Return an endpoint of the settings as an address."""
+    host, _, port = text.rpartition(':')
+    return Address(host, int(port))
+
+
+class EntryProcess:
+    """Wires sockets, the store and the engine.
+
+    Parameters
+    ----------
+    path : str
+        Settings file, read again on SIGHUP.
+    cfg : EntrySettings
+        Settings.
+    codec : PacketCodec
+        Packet format.
+    dialect : Dialect
+        Translation of the store's items.
+    store : PrefixStore
+        Store.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        cfg: EntrySettings,
+        codec: PacketCodec,
+        dialect: Dialect,
+        store: PrefixStore,
+    ) -> None:
+        self._path = path
+        self._cfg = cfg
+        self._store = store
+        self._readiness = Readiness.STARTING
+        self._stopped = Event()
+        self._started_s = time.monotonic()
+        self.log = BoundedLog(
+            'entry', sys.stdout.fileno(), instance=cfg.instance.name
+        )
+        self._directory = TargetDirectory(
+            DirectoryTiming(flow_life_s=cfg.bounds.flow_life_s)
+        )
+        self._routes = RouteTable()
+        self._beliefs = Beliefs(
+            dialect, self._directory, self._routes, self.log
+        )
+        self._responsiveness = Responsiveness()
+        self._cold_limit = ColdLimit(
+            cfg.instance.name,
+            ColdBounds(cfg.bounds.cold_factor, cfg.bounds.cold_slack),
+        )
+        self._socket = PacketSocket(
+            parse_endpoint(cfg.listeners.packet),
+            self._on_packet,
+            self._on_batch,
+        )
+        self.engine = self._build_engine(codec)
+        self._timer = gevent.get_hub().loop.timer(0)
+        self._ready_server = ReadinessServer(
+            parse_endpoint(cfg.listeners.ready),
+            lambda: self._readiness,
+            self.log,
+        )
+        self._followers = [
+            PrefixFollower(store, prefix, self._beliefs, self.log)
+            for prefix in self._beliefs.mirrors
+        ]
+        self._greenlets: list[gevent.Greenlet] = []
+        self._timer_due_s: float | None = None
+
+    def start(self) -> None:
+        """Open sockets and begin to learn; packets wait until that is done."""
+        self.log.start()
+        self.log.event('process_started', settings=self._path)
+        self._socket.open()
+        self._ready_server.start()
+        for follower in self._followers:
+            follower.start()
+        self._greenlets.append(gevent.spawn(self._keep_house))
+        gevent.signal_handler(signal.SIGTERM, self._on_stop_signal)
+        gevent.signal_handler(signal.SIGINT, self._on_stop_signal)
+        gevent.signal_handler(signal.SIGHUP, self._on_reload_signal)
+
+    def wait(self) -> None:
+        """Return when the process has to end."""
+        self._stopped.wait()
+
+    def close(self) -> None:
+        """Close everything that `start` opened."""
+        gevent.killall(self._greenlets)
+        for follower in self._followers:
+            follower.close()
+        self._ready_server.close()
+        self._timer.stop()
+        self._timer.close()
+        self._socket.close()
+        self._store.close()
+        self.log.event('process_stopped', flows=len(self.engine.flows))
+        self.log.close()
+
+    def _build_engine(self, codec: PacketCodec) -> EntryEngine:
+        placer = Placer(
+            self._cfg.instance.zone,
+            self._cold_limit,
+            self._responsiveness,
+            random.Random(),
+        )
+        zone_out_s = ZONE_OUT_SHARE * self._cfg.bounds.zone_out_ms / 1000
+        return EntryEngine(
+            codec,
+            self._directory,
+            self._routes,
+            placer,
+            self._responsiveness,
+            self._socket,
+            self.log,
+            EngineTiming(zone_out_s=zone_out_s),
+        )
+
+    def _keep_house(self) -> None:
+        while not self._beliefs.is_complete:
+            gevent.sleep(0.01)
+        self._socket.start()
+        self._readiness = Readiness.READY
+        self.log.event(
+            'process_ready',
+            after_ms=round(1000 * (time.monotonic() - self._started_s)),
+            config=self._routes.version,
+            routes=len(self._routes),
+        )
+        while True:
+            gevent.sleep(HOUSEKEEPING_S)
+            now_s = time.monotonic()
+            for target in self._directory.expire(now_s):
+                self.log.event(
+                    'target_changed', target=target.name, change='not_returned'
+                )
+            self._run_timer()
+
+    def _on_packet(self, packet: bytes) -> None:
+        self.engine.on_packet(packet, time.monotonic())
+
+    def _on_batch(self) -> None:
+        if self._timer_due_s is None:
+            self._run_timer()
+
+    def _run_timer(self) -> None:
+        now_s = time.monotonic()
+        due_s = self.engine.on_timer(now_s)
+        self._timer_due_s = due_s
+        self._timer.stop()
+        if due_s is not None:
+            self._timer = gevent.get_hub().loop.timer(max(due_s - now_s, 0))
+            self._timer.start(self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._socket.drain()
+        self._run_timer()
+
+    def _on_stop_signal(self) -> None:
+        if self._readiness is Readiness.STOPPING:
+            return
+        self._readiness = Readiness.STOPPING
+        self.log.event('process_stopping', flows=len(self.engine.flows))
+        gevent.spawn_later(FORWARD_AFTER_STOP_S, self._stopped.set)
+
+    def _on_reload_signal(self) -> None:
+        try:
+            found = read_settings(self._path, EntrySettings)
+        except SettingsError as exc:
+            self.log.error('settings_rejected', reason=str(exc))
+            return
+        is_same = found == self._cfg
+        self.log.event('settings_reloaded', changed=not is_same)
--- /dev/null
+++ b/siskinproxy/entry/settings.py
@@ -0,0 +1,128 @@
+"""Settings of an entry process."""
+
+from typing import Annotated, Final
+
+import msgspec
+
+from siskinproxy.settings_file import (
+    ENDPOINT_FORM,
+    HOST_FORM,
+    describe_key,
+)
+
+__all__ = (
+    'EntryBounds',
+    'EntryIdentity',
+    'EntryListeners',
+    'EntrySettings',
+    'EntryStore',
+)
+
+_MAX_PORT: Final = 65535
+
+
+def _seconds(description: str) -> msgspec.Meta:
+    return describe_key(description, 's', ge=0, le=3600)
+
+
+def _milliseconds(description: str) -> msgspec.Meta:
+    return describe_key(description, 'ms', ge=0, le=3_600_000)
+
+
+class EntryIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``instance``: who and where the instance is."""
+
+    name: Annotated[
+        str, describe_key('unique name of the instance', min_length=1)
+    ]
+    zone: Annotated[
+        str, describe_key('availability zone of the instance', min_length=1)
+    ]
+    address: Annotated[
+        str, describe_key('address of the instance', form=HOST_FORM)
+    ]
+
+
+class EntryListeners(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``listeners``: addresses on which the process listens."""
+
+    packet: Annotated[
+        str,
+        describe_key(
+            'UDP address of packets from the fabric', form=ENDPOINT_FORM
+        ),
+    ]
+    ready: Annotated[
+        str,
+        describe_key('TCP address of the readiness check', form=ENDPOINT_FORM),
+    ]
+    control: Annotated[
+        str,
+        describe_key(
+            'TCP address for other instances that have this one as a seed',
+            form=ENDPOINT_FORM,
+        ),
+    ]
+    peer_port: Annotated[
+        int,
+        describe_key(
+            'UDP and TCP port between instances, equal on all of them',
+            ge=1,
+            le=_MAX_PORT,
+        ),
+    ]
+
+
+class EntryStore(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``store``: the platform's store and other instances."""
+
+    address: Annotated[
+        str, describe_key('address of the store', form=ENDPOINT_FORM)
+    ]
+    seeds: Annotated[
+        tuple[str, ...],
+        describe_key(
+            'instances to ask while the store does not answer',
+            form=ENDPOINT_FORM,
+        ),
+    ] = ()
+
+
+class EntryBounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``bounds``: what the platform allows and expects."""
+
+    heartbeat_ms: Annotated[
+        int, _milliseconds('time between two announcements of a target')
+    ]
+    drain_ms: Annotated[
+        int, _milliseconds('time in which a leaving target gets its last flow')
+    ]
+    config_ms: Annotated[
+        int, _milliseconds('time in which a configuration is in force')
+    ]
+    zone_out_ms: Annotated[
+        int, _milliseconds('time after which a zone taken out gets nothing')
+    ]
+    stop_s: Annotated[
+        float, _seconds('time between the signal to stop and a forced end')
+    ]
+    flow_life_s: Annotated[float, _seconds('longest life of a flow')]
+    cold_factor: Annotated[
+        float,
+        describe_key(
+            'multiple of the rate that a cold target bears', ge=0, le=100
+        ),
+    ]
+    cold_slack: Annotated[
+        float,
+        describe_key('requests a second beyond that rate', ge=0, le=1000),
+    ]
+
+
+class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of an entry process."""
+
+    instance: Annotated[EntryIdentity, describe_key('who and where')]
+    listeners: Annotated[EntryListeners, describe_key('ports')]
+    store: Annotated[EntryStore, describe_key('store and other instances')]
+    bounds: Annotated[EntryBounds, describe_key('bounds of the platform')]
--- /dev/null
+++ b/siskinproxy/entry/tests/test_engine.py
@@ -0,0 +1,121 @@
+"""Packet decisions of the entry process."""
+
+import pytest
+
+from siskinproxy.entry.packets import ACK, FIN
+from siskinproxy.entry.records import ServiceShare
+from siskinproxy.entry.tests.fakes import (
+    VIRTUAL,
+    Instance,
+    configuration,
+    packet,
+    route,
+    target,
+)
+
+OTHER = bytes([198, 18, 0, 2]) + (443).to_bytes(2)
+CALLER = ('100.64.0.7', 8172)
+
+
+def test_any_instance_forwards_an_established_flow():
+    """Guards against flows that depend on the instance that opened them."""
+    records = [target(number) for number in range(1, 6)]
+    first = Instance('one', targets=records)
+    other = Instance('two', targets=records)
+    chosen = first.open(1000, 0)
+    sent = other.answer(1000, chosen, 0.01, data=b'GET /')
+    assert [address for address, _ in sent] == [chosen.address]
+    assert sent[0][1][:8] == chosen.target_id.to_bytes(8)
+
+
+def test_tokens_do_not_lead_to_another_service():
+    """Guards against packets that reach another service."""
+    records = [target(1), target(2, service='archive')]
+    instance = Instance(targets=records)
+    assert instance.answer(1000, records[1], 0) == []
+    assert instance.events.named('token_unknown')
+
+
+def test_two_targets_with_one_token_are_told_apart(monkeypatch):
+    """Guards against a collision of tokens between services."""
+    monkeypatch.setattr('siskinproxy.entry.records.zlib.crc32', lambda _: 5)
+    records = [target(1), target(2, service='archive'), target(3)]
+    routes = (route(), route('archive', OTHER, (ServiceShare('archive', 1),)))
+    instance = Instance(targets=records, cfg=configuration(routes=routes))
+    opened = {instance.open(port, 0).name for port in range(1000, 1020)}
+    assert opened == {'t-1'}
+    sent = instance.answer(2000, records[1], 0, destination=OTHER)
+    assert sent[0][0] == records[1].address
+
+
+def test_an_open_flow_stays_when_its_route_moves():
+    """Guards against a configuration that moves open flows."""
+    records = [target(1), target(2, service='archive')]
+    instance = Instance(targets=records)
+    moved = route(shares=(ServiceShare('archive', 1),))
+    instance.routes.apply(configuration(2, (moved,)), 1)
+    assert instance.answer(1000, records[0], 2)[0][0] == records[0].address
+    assert instance.open(1001, 2) == records[1]
+
+
+@pytest.mark.parametrize('version', [1, 2])
+def test_an_older_configuration_is_not_applied(version):
+    """Guards against a configuration that reverts."""
+    instance = Instance(targets=[target(1)], cfg=configuration(2))
+    assert not instance.routes.apply(configuration(version, ()), 1)
+    assert instance.open(1000, 2) is not None
+
+
+def test_openings_without_a_route_are_reset_at_once():
+    """Guards against callers that wait for a route that does not exist."""
+    instance = Instance(targets=[target(1)])
+    instance.engine.on_packet(packet(1000, destination=OTHER), 0)
+    ((address, reset),) = instance.outbox.take()
+    assert address == CALLER
+    assert reset[14] == 8
+    assert instance.events.named('flow_refused')[0]['reason'] == 'no_route'
+
+
+def test_nothing_is_sent_to_a_zone_that_is_out_for_long():
+    """Guards against packets to a zone that operators have taken out."""
+    records = [target(1, zone='a'), target(2, zone='b')]
+    instance = Instance(targets=records)
+    instance.directory.take_zone_out('a', 10)
+    assert instance.open(1000, 10) == records[1]
+    assert instance.answer(1001, records[0], 12)
+    assert not instance.answer(1001, records[0], 15)
+
+
+def test_draining_targets_get_no_openings_but_keep_flows():
+    """Guards against new flows at a target that leaves."""
+    records = [target(1), target(2)]
+    instance = Instance(targets=records)
+    instance.directory.announce(target(1, is_draining=True, revision=2), 1)
+    opened = {instance.open(port, 1).name for port in range(1000, 1020)}
+    assert opened == {'t-2'}
+    assert instance.answer(999, records[0], 1)
+
+
+def test_flows_in_progress_are_counted_until_they_close():
+    """Guards against targets that look busy for ever."""
+    instance = Instance(targets=[target(1)])
+    record = instance.open(1000, 0)
+    instance.answer(1000, record, 0.01)
+    known = next(instance.directory.targets())
+    assert instance.placer.in_progress(known) == 1
+    closing = packet(1000, flags=FIN | ACK, token=record.token)
+    instance.engine.on_packet(closing, 0.1)
+    assert instance.placer.in_progress(known) == 0
+    instance.open(1001, 1)
+    instance.engine.on_timer(10)
+    assert instance.placer.in_progress(known) == 0
+    assert not len(instance.engine.flows)
+
+
+def test_malformed_datagrams_are_counted():
+    """Guards against an exception on the packet path."""
+    instance = Instance(targets=[target(1)])
+    instance.engine.on_packet(b'short', 0)
+    assert instance.engine.counters['malformed'] == 1
+    assert not instance.outbox.sent
+    assert VIRTUAL != OTHER
