Let one instance of a zone watch the store and the others watch that one

Change: instances register under leased keys. By a ranking of their names that all share, the first instance of a zone watches the store with one watch on all keys, and the others wait for its changes on a TCP connection. An answer states when the store confirmed it; a source whose answers are older than 1.7 s, that fails or is silent, is avoided for 4 s and the next one is asked, last the store itself or an instance of another zone. New flows to cold targets are divided among registered instances and those whose registration ended lately.

Ruled out: leases for the role of the reader (a lost lease needs a further call before a stale reader is replaced; the age of its answers shows it at once).

--- a/siskinproxy/entry/beliefs.py
+++ b/siskinproxy/entry/beliefs.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from siskinproxy.entry.directory import TargetChange, TargetDirectory
-from siskinproxy.entry.mirror import ItemChange, PrefixMirror
+from siskinproxy.entry.instances import (
+    INSTANCES_PREFIX,
+    InstanceDirectory,
+    InstanceRecord,
+    decode_instance,
+)
+from siskinproxy.entry.mirror import StoreMirror
 from siskinproxy.entry.records import (
     OperatorConfiguration,
     Statement,
@@ -33,19 +39,13 @@
 
     Parameters
     ----------
-    targets_prefix : str
-        Start of the keys that targets write.
-    operations_prefix : str
-        Start of the keys that operators write.
-    instances_prefix : str
-        Start of the keys that entry processes write.
+    prefix : str
+        Start of the keys that matter.
     decode : callable
-        Returns what an item states.
+        Returns what an item of targets or operators states.
     """
 
-    targets_prefix: str
-    operations_prefix: str
-    instances_prefix: str
+    prefix: str
     decode: Callable[[StoredItem], Statement]
 
 
@@ -67,6 +67,8 @@
         Gets targets and zones.
     routes : RouteTable
         Gets configurations.
+    instances : InstanceDirectory
+        Gets registrations.
     events : EventSink
         Where changes are reported.
     """
@@ -76,39 +78,34 @@
         dialect: Dialect,
         directory: TargetDirectory,
         routes: RouteTable,
+        instances: InstanceDirectory,
         events: EventSink,
     ) -> None:
-        self.mirrors = {
-            dialect.targets_prefix: PrefixMirror(),
-            dialect.operations_prefix: PrefixMirror(),
-        }
+        self.mirror = StoreMirror()
         self._dialect = dialect
+        self._instances = instances
         self._directory = directory
         self._routes = routes
         self._events = events
-        self._stated: dict[str, Statement] = {}
+        self._stated: dict[str, Statement | InstanceRecord] = {}
 
     @property
     def is_complete(self) -> bool:
-        """Whether the targets and a configuration are known."""
-        learned = all(mirror.revision for mirror in self.mirrors.values())
-        return learned and self._routes.version > 0
+        """Whether a configuration is known."""
+        return self._routes.version > 0
 
     def learn(
         self,
-        prefix: str,
         changes: PrefixChanges,
         now_s: float,
         *,
         source: str,
         may_have_lapsed: bool = False,
-    ) -> None:
+    ) -> int:
         """Take over an answer of the store or of another instance.
 
         Parameters
         ----------
-        prefix : str
-            Prefix of the items.
         changes : PrefixChanges
             Answer.
         now_s : float
@@ -118,23 +115,36 @@
         may_have_lapsed : bool
             Whether entries that are missing may have expired while the store
             was away.
+
+        Returns
+        -------
+        int
+            Number of items that differ from before.
         """
         origin = _Source(source, may_have_lapsed)
-        for change in self.mirrors[prefix].apply(changes):
+        found = self.mirror.apply(changes)
+        for change in found:
             if change.item is None:
                 self._withdraw(change.key, now_s, origin)
             else:
-                self._take_over(change, now_s, origin)
+                self._take_over(change.key, change.item, now_s, origin)
+        return len(found)
 
     def _take_over(
-        self, change: ItemChange, now_s: float, origin: _Source
+        self, key: str, item: StoredItem, now_s: float, origin: _Source
     ) -> None:
-        statement = self._dialect.decode(change.item)
-        earlier = self._stated.get(change.key)
+        statement = self._decode(item)
+        earlier = self._stated.get(key)
         if not isinstance(statement, type(earlier)):
-            self._withdraw(change.key, now_s, origin)
-        self._stated[change.key] = statement
-        self._state(statement, change.key, now_s, origin)
+            self._withdraw(key, now_s, origin)
+        self._stated[key] = statement
+        self._state(statement, key, now_s, origin)
+
+    def _decode(self, item: StoredItem) -> Statement | InstanceRecord:
+        if not item.key.startswith(INSTANCES_PREFIX):
+            return self._dialect.decode(item)
+        record = decode_instance(item)
+        return record or UnusableRecord('no registration of an instance')
 
     def _withdraw(self, key: str, now_s: float, origin: _Source) -> None:
         statement = self._stated.pop(key, None)
@@ -149,10 +159,19 @@
             self._events.event(
                 'zone_returned', zone=statement.zone, source=origin.name
             )
+        elif isinstance(statement, InstanceRecord):
+            self._instances.remove(statement.name, now_s)
+            self._events.event(
+                'instance_left', peer=statement.name, source=origin.name
+            )
 
     @singledispatchmethod
     def _state(
-        self, statement: Statement, key: str, now_s: float, origin: _Source
+        self,
+        statement: Statement | InstanceRecord,
+        key: str,
+        now_s: float,
+        origin: _Source,
     ) -> None:
         raise NotImplementedError(type(statement).__name__)
 
@@ -190,6 +209,15 @@
             'zone_taken_out', zone=statement.zone, source=origin.name
         )
 
+    @_state.register
+    def _state_instance(
+        self, statement: InstanceRecord, key: str, now_s: float, origin: _Source
+    ) -> None:
+        self._instances.register(statement)
+        self._events.event(
+            'instance_joined', peer=statement.name, source=origin.name
+        )
+
     @_state.register
     def _state_nothing(
         self, statement: UnusableRecord, key: str, now_s: float, origin: _Source
--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -1,21 +1,21 @@
-"""Keeps a prefix of the store up to date."""
+"""Keeps the beliefs of an instance up to date."""
 
 import time
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 from siskinproxy.entry.beliefs import Beliefs
-from siskinproxy.entry.store import PrefixStore
-from siskinproxy.errors import (
-    StoreError,
-    StoreHistoryLostError,
-    StoreRateLimitError,
-)
+from siskinproxy.entry.peer_link import PeerClient
+from siskinproxy.entry.peer_messages import ChangesAnswer, ChangesQuery
+from siskinproxy.entry.sources import Source, SourceSelector
+from siskinproxy.entry.store import PrefixChanges, PrefixStore
+from siskinproxy.errors import StoreError, StoreHistoryLostError
 
-__all__ = ('FollowerTiming', 'PrefixFollower')
+__all__ = ('ChangeFollower', 'FollowerTiming')
 
 
 class FollowerTiming(msgspec.Struct, frozen=True):
@@ -24,39 +24,41 @@
     Parameters
     ----------
     watch_s : float
-        Length of a watch. Bounds how long a silent connection is trusted.
-    first_retry_s : float
-        Delay after a failed call.
-    most_retry_s : float
-        Longest delay; the store may return at any time.
-    away_s : float
-        Time without an answer after which entries may have expired because
-        the store was away.
+        Length of a watch at the store, and of a wait at another instance.
+        Bounds how long a silent connection is trusted.
+    peer_timeout_s : float
+        Time after which an instance that should have answered has failed.
+    stale_s : float
+        Age of an answer above which its source is avoided: a watch, a call
+        that failed and the next one.
+    retry_s : float
+        Delay after a failed or stale answer.
     return_s : float
         Time after the store's return in which removed entries may return.
     """
 
     watch_s: float = 1.0
-    first_retry_s: float = 0.1
-    most_retry_s: float = 0.5
-    away_s: float = 1.5
+    peer_timeout_s: float = 0.4
+    stale_s: float = 1.7
+    retry_s: float = 0.1
     return_s: float = 2.5
 
 
-_GROWTH: Final = 2
-
-
-class PrefixFollower:
-    """Reads a prefix once and then watches it.
+class ChangeFollower:
+    """Asks one source after the other for changes of the store.
 
     Parameters
     ----------
+    name : str
+        Name of this instance.
     store : PrefixStore
         Store.
     prefix : str
-        Prefix of the keys.
+        Start of the keys that matter.
     beliefs : Beliefs
         Gets the answers.
+    selector : SourceSelector
+        Whom to ask.
     events : EventSink
         Where lost and regained contact is reported.
     timing : FollowerTiming
@@ -66,108 +68,194 @@
 
     Attributes
     ----------
-    answered_s : float
-        When the store answered last; negative before the first answer.
+    confirmed_s : float
+        When the store confirmed the newest revision, as far as is known;
+        negative before the first answer.
     """
 
     def __init__(
         self,
+        name: str,
         store: PrefixStore,
         prefix: str,
         beliefs: Beliefs,
+        selector: SourceSelector,
         events: Any,
         timing: FollowerTiming | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.answered_s: float = -1
+        self.confirmed_s: float = -1
+        self._name = name
         self._store = store
         self._prefix = prefix
         self._beliefs = beliefs
+        self._selector = selector
         self._events = events
         self._timing = timing or FollowerTiming()
         self._clock = clock
-        self._revision: int | None = None
+        self._clients: dict[str, PeerClient] = {}
+        self._changed = Event()
+        self._needs_all = True
+        self._lost_s: float | None = None
         self._returned_s: float | None = None
-        self._failed_s: float | None = None
+        self._source: Source | None = None
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Follow the prefix in a greenlet."""
+        """Follow in a greenlet."""
         self._greenlet = gevent.spawn(self._run)
 
     def close(self) -> None:
-        """Stop following."""
+        """Stop following and close the connections to other instances."""
         if self._greenlet is not None:
             self._greenlet.kill()
             self._greenlet = None
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
 
     def age_s(self, now_s: float) -> float:
-        """Return the time since the store answered, in seconds."""
-        return now_s - self.answered_s
+        """Return the age of the newest confirmed revision, in seconds."""
+        return now_s - self.confirmed_s
+
+    def answer(self, query: ChangesQuery) -> ChangesAnswer:
+        """Answer another instance; waits for a change.
+
+        Parameters
+        ----------
+        query : ChangesQuery
+            Query of the other instance.
+
+        Returns
+        -------
+        ChangesAnswer
+            Changes after its revision. Without waiting if this instance has
+            not heard from the store lately, so that the other one asks
+            elsewhere.
+        """
+        mirror = self._beliefs.mirror
+        is_fresh = self.age_s(self._clock()) <= self._timing.stale_s
+        if is_fresh and mirror.revision <= query.revision:
+            self._changed.wait(query.wait_ms / 1000)
+        now_s = self._clock()
+        changes = mirror.changes_after(query.revision)
+        return ChangesAnswer(
+            changes.items,
+            changes.revision,
+            changes.is_complete,
+            age_ms=round(1000 * self.age_s(now_s)),
+            may_have_lapsed=self._may_have_lapsed(now_s),
+        )
 
     def _run(self) -> None:
-        delay_s = self._timing.first_retry_s
         while True:
+            source = self._selector.choose(self._clock())
             try:
-                self._update()
+                self._ask(source)
             except StoreHistoryLostError as exc:
-                self._revision = None
-                self._events.event(
-                    'store_history_lost', prefix=self._prefix, reason=str(exc)
-                )
+                self._needs_all = True
+                self._events.event('store_history_lost', reason=str(exc))
             except StoreError as exc:
-                self._note_failed(exc)
-                gevent.sleep(delay_s)
-                delay_s = min(_GROWTH * delay_s, self._timing.most_retry_s)
-            else:
-                delay_s = self._timing.first_retry_s
-
-    def _update(self) -> None:
-        if self._revision is None:
+                self._note_failed(source, exc)
+                gevent.sleep(self._timing.retry_s)
+
+    def _ask(self, source: Source) -> None:
+        if source.instance is None:
+            changes = self._ask_store()
+            now_s = self._clock()
+            self._take_over(source, changes, now_s, now_s)
+            return
+        answer = self._ask_instance(source)
+        now_s = self._clock()
+        changes = PrefixChanges(
+            answer.items, answer.revision, answer.is_complete
+        )
+        confirmed_s = now_s - answer.age_ms / 1000
+        if answer.may_have_lapsed:
+            self._returned_s = now_s
+        self._take_over(source, changes, confirmed_s, now_s)
+        if answer.age_ms / 1000 > self._timing.stale_s:
+            self._selector.note_failed(source, now_s)
+            gevent.sleep(self._timing.retry_s)
+
+    def _ask_store(self) -> PrefixChanges:
+        if self._needs_all:
             changes = self._store.read(self._prefix)
-        else:
-            changes = self._store.watch(
-                self._prefix, self._revision, self._timing.watch_s
+            self._needs_all = False
+            return changes
+        return self._store.watch(
+            self._prefix, self._beliefs.mirror.revision, self._timing.watch_s
+        )
+
+    def _ask_instance(self, source: Source) -> ChangesAnswer:
+        client = self._clients.get(source.name)
+        if client is None:
+            client = PeerClient(
+                source.instance.address, self._timing.peer_timeout_s
             )
-        now_s = self._clock()
-        self._note_answered(now_s)
-        self._beliefs.learn(
-            self._prefix,
+            self._clients[source.name] = client
+        wait_ms = round(1000 * self._timing.watch_s)
+        revision = self._beliefs.mirror.revision
+        return client.ask(ChangesQuery(self._name, revision, wait_ms))
+
+    def _take_over(
+        self,
+        source: Source,
+        changes: PrefixChanges,
+        confirmed_s: float,
+        now_s: float,
+    ) -> None:
+        self._note_answered(source, confirmed_s, now_s)
+        count = self._beliefs.learn(
             changes,
             now_s,
-            source='store',
+            source=source.name,
             may_have_lapsed=self._may_have_lapsed(now_s),
         )
-        self._revision = changes.revision
-
-    def _may_have_lapsed(self, now_s: float) -> bool:
-        if self._returned_s is None:
-            return False
-        return now_s - self._returned_s < self._timing.return_s
+        if changes.is_complete:
+            self._needs_all = False
+        if count:
+            self._changed.set()
+            self._changed = Event()
 
-    def _note_answered(self, now_s: float) -> None:
-        was_away = 0 <= self.answered_s < now_s - self._away_limit_s()
-        if was_away or self._failed_s is not None:
+    def _note_answered(
+        self, source: Source, confirmed_s: float, now_s: float
+    ) -> None:
+        self._selector.note_answered(source)
+        if source != self._source:
+            self._events.event(
+                'source_chosen',
+                source=source.name,
+                age_ms=round(1000 * (now_s - confirmed_s)),
+                revision=self._beliefs.mirror.revision,
+            )
+            self._source = source
+        if confirmed_s <= self.confirmed_s:
+            return
+        if 0 <= self.confirmed_s < confirmed_s - self._timing.stale_s:
             self._returned_s = now_s
             self._events.event(
                 'store_regained',
-                prefix=self._prefix,
-                away_ms=round(1000 * self.age_s(now_s)),
+                source=source.name,
+                away_ms=round(1000 * (confirmed_s - self.confirmed_s)),
             )
-        self._failed_s = None
-        self.answered_s = now_s
+        self._lost_s = None
+        self.confirmed_s = confirmed_s
 
-    def _away_limit_s(self) -> float:
-        return self._timing.watch_s + self._timing.away_s
+    def _may_have_lapsed(self, now_s: float) -> bool:
+        if self._returned_s is None:
+            return False
+        return now_s - self._returned_s < self._timing.return_s
 
-    def _note_failed(self, exc: StoreError) -> None:
-        # A rejected call shows a store that is there.
-        if self._failed_s is None:
-            self._failed_s = self._clock()
+    def _note_failed(self, source: Source, exc: StoreError) -> None:
+        now_s = self._clock()
+        self._selector.note_failed(source, now_s)
+        if self._lost_s is None:
+            self._lost_s = now_s
             self._events.event(
-                'store_lost',
-                prefix=self._prefix,
+                'source_lost',
+                source=source.name,
                 kind=type(exc).__name__,
                 reason=str(exc),
-                rate_limited=isinstance(exc, StoreRateLimitError),
+                age_ms=round(1000 * self.age_s(now_s)),
             )
--- /dev/null
+++ b/siskinproxy/entry/peer_link.py
@@ -0,0 +1,169 @@
+"""Connections on which instances pass on changes of the store."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+
+from siskinproxy.entry.peer_messages import (
+    LENGTH,
+    MAX_FRAME_BYTES,
+    ChangesAnswer,
+    ChangesQuery,
+    decode_answer,
+    decode_query,
+    encode_frame,
+)
+from siskinproxy.entry.records import Address
+from siskinproxy.errors import LinkFormatError, StoreUnavailableError
+
+__all__ = ('PeerClient', 'PeerServer')
+
+_BACKLOG: Final = 128
+_RECEIVE_BYTES: Final = 65536
+#: Time after which a silent connection of an instance is closed, in seconds.
+_IDLE_S: Final = 10.0
+
+
+class PeerClient:
+    """Connection to one instance.
+
+    Parameters
+    ----------
+    address : Address
+        Address of the instance.
+    timeout_s : float
+        Time for connecting, and for an answer beyond its wait, in seconds.
+    """
+
+    def __init__(self, address: Address, timeout_s: float) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self._conn: socket.socket | None = None
+
+    def ask(self, query: ChangesQuery) -> ChangesAnswer:
+        """Return the instance's answer.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The instance cannot be reached or its answer cannot be read.
+        """
+        try:
+            if self._conn is None:
+                self._conn = self._connect()
+            self._conn.settimeout(self._timeout_s + query.wait_ms / 1000)
+            self._conn.sendall(encode_frame(query))
+            return decode_answer(_receive_frame(self._conn))
+        except (OSError, LinkFormatError) as exc:
+            self.close()
+            detail = f'reason="{type(exc).__name__}: {exc}"'
+            raise StoreUnavailableError(detail) from exc
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    def _connect(self) -> socket.socket:
+        conn = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            conn.settimeout(self._timeout_s)
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            conn.connect(self._address)
+        except BaseException:
+            conn.close()
+            raise
+        return conn
+
+
+class PeerServer:
+    """Answers the queries of other instances.
+
+    Parameters
+    ----------
+    address : Address
+        Address to listen on.
+    answer : callable
+        Returns the answer to a query; may wait.
+    events : EventSink
+        Where failed connections are reported.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        answer: Callable[[ChangesQuery], ChangesAnswer],
+        events: Any,
+    ) -> None:
+        self._address = address
+        self._answer = answer
+        self._events = events
+        self._listener: socket.socket | None = None
+        self._greenlets: set[gevent.Greenlet] = set()
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        return int(self._listener.getsockname()[1])
+
+    def start(self) -> None:
+        """Listen and answer in greenlets."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._address)
+        listener.listen(_BACKLOG)
+        self._listener = listener
+        self._spawn(self._accept)
+
+    def close(self) -> None:
+        """Close all connections and stop listening."""
+        gevent.killall(tuple(self._greenlets))
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def _spawn(self, function: Callable[..., None], *args: Any) -> None:
+        greenlet = gevent.spawn(function, *args)
+        self._greenlets.add(greenlet)
+        greenlet.link(self._greenlets.discard)
+
+    def _accept(self) -> None:
+        while True:
+            conn, _ = self._listener.accept()
+            self._spawn(self._serve, conn)
+
+    def _serve(self, conn: socket.socket) -> None:
+        with conn:
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            conn.settimeout(_IDLE_S)
+            try:
+                while True:
+                    query = decode_query(_receive_frame(conn))
+                    conn.sendall(encode_frame(self._answer(query)))
+            except (OSError, LinkFormatError) as exc:
+                self._events.event(
+                    'peer_connection_closed',
+                    reason=f'{type(exc).__name__}: {exc}',
+                )
+
+
+def _receive_frame(conn: socket.socket) -> bytes:
+    length = LENGTH.unpack(_receive_exactly(conn, LENGTH.size))[0]
+    if length > MAX_FRAME_BYTES:
+        raise LinkFormatError(f'frame_bytes={length}')
+    return _receive_exactly(conn, length)
+
+
+def _receive_exactly(conn: socket.socket, length: int) -> bytes:
+    parts = []
+    missing = length
+    while missing:
+        part = conn.recv(min(missing, _RECEIVE_BYTES))
+        if not part:
+            raise ConnectionResetError('connection closed')
+        parts.append(part)
+        missing -= len(part)
+    return b''.join(parts)
--- /dev/null
+++ b/siskinproxy/entry/peer_messages.py
@@ -0,0 +1,106 @@
+"""Messages between instances and their encoding.
+
+A frame on a TCP connection is a length of 4 bytes and a msgpack array.
+"""
+
+import struct
+from typing import Final
+
+import msgspec
+
+from siskinproxy.entry.store import ItemRemoved, StoredItem
+from siskinproxy.errors import LinkFormatError
+
+__all__ = (
+    'LENGTH',
+    'MAX_FRAME_BYTES',
+    'ChangesAnswer',
+    'ChangesQuery',
+    'decode_answer',
+    'decode_query',
+    'encode_frame',
+)
+
+LENGTH: Final = struct.Struct('>I')
+#: More than all items of a region at the target size.
+MAX_FRAME_BYTES: Final = 32 * 1024 * 1024
+
+
+class ChangesQuery(msgspec.Struct, frozen=True, array_like=True):
+    """Asks an instance for changes.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance that asks.
+    revision : int
+        Revision that it knows; 0 for none.
+    wait_ms : int
+        How long the answer may wait for a change, in milliseconds.
+    """
+
+    instance: str
+    revision: int
+    wait_ms: int
+
+
+class ChangesAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Changes of the store as the answering instance knows them.
+
+    Parameters
+    ----------
+    items : tuple of StoredItem or ItemRemoved
+        Items.
+    revision : int
+        Revision up to which they are complete.
+    is_complete : bool
+        Whether other keys do not exist.
+    age_ms : int
+        Time since the store confirmed the revision, in milliseconds.
+    may_have_lapsed : bool
+        Whether removed entries may have expired while the store was away.
+    """
+
+    items: tuple[StoredItem | ItemRemoved, ...]
+    revision: int
+    is_complete: bool
+    age_ms: int
+    may_have_lapsed: bool
+
+
+_QUERY: Final = msgspec.msgpack.Decoder(ChangesQuery)
+_ANSWER: Final = msgspec.msgpack.Decoder(ChangesAnswer)
+
+
+def encode_frame(message: ChangesQuery | ChangesAnswer) -> bytes:
+    """Return a message with its length."""
+    body = msgspec.msgpack.encode(message)
+    return LENGTH.pack(len(body)) + body
+
+
+def decode_query(body: bytes) -> ChangesQuery:
+    """Return the query of a frame.
+
+    Raises
+    ------
+    LinkFormatError
+        The frame holds no query.
+    """
+    try:
+        return _QUERY.decode(body)
+    except msgspec.MsgspecError as exc:
+        raise LinkFormatError(str(exc)) from exc
+
+
+def decode_answer(body: bytes) -> ChangesAnswer:
+    """Return the answer of a frame.
+
+    Raises
+    ------
+    LinkFormatError
+        The frame holds no answer.
+    """
+    try:
+        return _ANSWER.decode(body)
+    except msgspec.MsgspecError as exc:
+        raise LinkFormatError(str(exc)) from exc
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -14,15 +14,19 @@
 from siskinproxy.entry.directory import DirectoryTiming, TargetDirectory
 from siskinproxy.entry.engine import EngineTiming, EntryEngine
 from siskinproxy.entry.event_log import BoundedLog
-from siskinproxy.entry.follower import PrefixFollower
+from siskinproxy.entry.follower import ChangeFollower
+from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
 from siskinproxy.entry.packet_socket import PacketSocket
 from siskinproxy.entry.packets import PacketCodec
+from siskinproxy.entry.peer_link import PeerServer
 from siskinproxy.entry.placing import Placer
 from siskinproxy.entry.readiness import Readiness, ReadinessServer
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.registration import Registration
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.settings import EntrySettings
+from siskinproxy.entry.sources import SourceSelector
 from siskinproxy.entry.store import PrefixStore
 from siskinproxy.errors import SettingsError
 from siskinproxy.settings_file import read_settings
@@ -83,8 +87,13 @@
             DirectoryTiming(flow_life_s=cfg.bounds.flow_life_s)
         )
         self._routes = RouteTable()
+        self._instances = InstanceDirectory()
         self._beliefs = Beliefs(
-            dialect, self._directory, self._routes, self.log
+            dialect,
+            self._directory,
+            self._routes,
+            self._instances,
+            self.log,
         )
         self._responsiveness = Responsiveness()
         self._cold_limit = ColdLimit(
@@ -103,10 +112,24 @@
             lambda: self._readiness,
             self.log,
         )
-        self._followers = [
-            PrefixFollower(store, prefix, self._beliefs, self.log)
-            for prefix in self._beliefs.mirrors
-        ]
+        record = InstanceRecord(
+            cfg.instance.name,
+            cfg.instance.zone,
+            cfg.instance.address,
+            cfg.listeners.peer_port,
+        )
+        self._follower = ChangeFollower(
+            cfg.instance.name,
+            store,
+            dialect.prefix,
+            self._beliefs,
+            SourceSelector(record, self._instances, random.Random()),
+            self.log,
+        )
+        self._peer_server = PeerServer(
+            record.address, self._follower.answer, self.log
+        )
+        self._registration = Registration(store, record, self.log)
         self._greenlets: list[gevent.Greenlet] = []
         self._timer_due_s: float | None = None
 
@@ -116,8 +139,9 @@
         self.log.event('process_started', settings=self._path)
         self._socket.open()
         self._ready_server.start()
-        for follower in self._followers:
-            follower.start()
+        self._follower.start()
+        self._peer_server.start()
+        self._registration.start()
         self._greenlets.append(gevent.spawn(self._keep_house))
         gevent.signal_handler(signal.SIGTERM, self._on_stop_signal)
         gevent.signal_handler(signal.SIGINT, self._on_stop_signal)
@@ -130,8 +154,9 @@
     def close(self) -> None:
         """Close everything that `start` opened."""
         gevent.killall(self._greenlets)
-        for follower in self._followers:
-            follower.close()
+        self._registration.close()
+        self._follower.close()
+        self._peer_server.close()
         self._ready_server.close()
         self._timer.stop()
         self._timer.close()
@@ -177,6 +202,8 @@
                 self.log.event(
                     'target_changed', target=target.name, change='not_returned'
                 )
+            senders = self._instances.possible_senders(now_s)
+            self._cold_limit.set_instances(senders)
             self._run_timer()
 
     def _on_packet(self, packet: bytes) -> None:
--- a/siskinproxy/entry/store.py
+++ b/siskinproxy/entry/store.py
@@ -12,7 +12,7 @@
 __all__ = ('ItemRemoved', 'PrefixChanges', 'PrefixStore', 'StoredItem')
 
 
-class StoredItem(msgspec.Struct, frozen=True):
+class StoredItem(msgspec.Struct, frozen=True, array_like=True, tag='s'):
     """A key and its value.
 
     Parameters
@@ -30,7 +30,7 @@
     revision: int
 
 
-class ItemRemoved(msgspec.Struct, frozen=True):
+class ItemRemoved(msgspec.Struct, frozen=True, array_like=True, tag='r'):
     """A key that was removed.
 
     Parameters
@@ -110,13 +110,8 @@
             The lease has ended.
         """
 
-    def create(self, key: str, value: bytes, lease_id: int) -> bool:
-        """Write a key that must not exist.
-
-        Returns
-        -------
-        bool
-            False if the key exists already.
+    def put(self, key: str, value: bytes, lease_id: int) -> None:
+        """Write a key, which is removed when the lease ends.
 
         Raises
         ------
--- /dev/null
+++ b/siskinproxy/entry/tests/test_follower.py
@@ -0,0 +1,237 @@
+"""Following the store: lost history, refusals, and other instances."""
+
+import gevent
+import pytest
+
+from siskinproxy.entry.beliefs import Beliefs, Dialect
+from siskinproxy.entry.directory import Presence, TargetDirectory
+from siskinproxy.entry.follower import ChangeFollower, FollowerTiming
+from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
+from siskinproxy.entry.peer_link import PeerServer
+from siskinproxy.entry.records import Address
+from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.sources import STORE, Source
+from siskinproxy.entry.store import PrefixChanges, StoredItem
+from siskinproxy.entry.tests.fakes import Events, configuration, target
+from siskinproxy.errors import (
+    StoreHistoryLostError,
+    StoreRateLimitError,
+    StoreUnavailableError,
+)
+
+TIMING = FollowerTiming(
+    watch_s=0.05, peer_timeout_s=0.05, stale_s=0.3, retry_s=0.01, return_s=0.5
+)
+STATEMENTS = {
+    'cfg-1': configuration(1),
+    'cfg-2': configuration(2),
+    't-1': target(1),
+    't-2': target(2),
+}
+
+
+def decode(item):
+    return STATEMENTS[item.value.decode()]
+
+
+class Store:
+    """Answers from a script of items, or with an error."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.history_from = 0
+        self.error = None
+        self.calls = []
+
+    def put(self, key, value, lease_id=0):
+        self.revision += 1
+        self.items[key] = StoredItem(key, value.encode(), self.revision)
+
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self.history_from = self.revision
+
+    def read(self, prefix):
+        self._call('read')
+        return PrefixChanges(tuple(self.items.values()), self.revision, True)
+
+    def watch(self, prefix, after_revision, timeout_s):
+        self._call('watch')
+        gevent.sleep(0.01)
+        if after_revision < self.history_from:
+            raise StoreHistoryLostError('gone')
+        found = tuple(
+            item
+            for item in self.items.values()
+            if item.revision > after_revision
+        )
+        return PrefixChanges(found, self.revision, False)
+
+    def _call(self, kind):
+        self.calls.append(kind)
+        if self.error is not None:
+            raise self.error
+
+
+class Selector:
+    """Gives the sources of a list in turn as they fail."""
+
+    def __init__(self, *sources):
+        self.sources = list(sources)
+        self.failed = []
+
+    def choose(self, now_s):
+        return self.sources[0]
+
+    def note_failed(self, source, now_s):
+        self.failed.append(source.name)
+        self.sources.append(self.sources.pop(0))
+
+    def note_answered(self, source):
+        pass
+
+
+class Follower:
+    """A follower with its beliefs."""
+
+    def __init__(self, store, *sources):
+        self.directory = TargetDirectory()
+        self.routes = RouteTable()
+        self.events = Events()
+        self.beliefs = Beliefs(
+            Dialect('', decode),
+            self.directory,
+            self.routes,
+            InstanceDirectory(),
+            self.events,
+        )
+        self.selector = Selector(*sources or (STORE,))
+        self.follower = ChangeFollower(
+            'i-1',
+            store,
+            '',
+            self.beliefs,
+            self.selector,
+            self.events,
+            TIMING,
+        )
+
+    def wait_for(self, condition):
+        with gevent.Timeout(5):
+            while not condition():
+                gevent.sleep(0.005)
+
+    @property
+    def names(self):
+        return {known.name for known in self.directory.of_service('desk')}
+
+
+@pytest.fixture
+def store():
+    found = Store()
+    found.put('op/config', 'cfg-1')
+    found.put('servers/1', 't-1')
+    return found
+
+
+@pytest.fixture
+def make():
+    followers = []
+
+    def start(store, *sources):
+        follower = Follower(store, *sources)
+        followers.append(follower)
+        follower.follower.start()
+        return follower
+
+    yield start
+    for follower in followers:
+        follower.follower.close()
+
+
+def test_changes_arrive_by_watch(store, make):
+    """Guards against a configuration that needs a restart."""
+    found = make(store)
+    found.wait_for(lambda: found.routes.version == 1)
+    store.put('op/config', 'cfg-2')
+    store.put('servers/2', 't-2')
+    found.wait_for(lambda: found.routes.version == 2)
+    found.wait_for(lambda: found.names == {'t-1', 't-2'})
+    assert store.calls.count('read') == 1
+
+
+def test_lost_history_is_read_again(store, make):
+    """Guards against removals that a dropped history hides."""
+    found = make(store)
+    found.wait_for(lambda: found.names == {'t-1'})
+    store.remove('servers/1')
+    found.wait_for(lambda: found.names == set())
+    assert found.events.named('store_history_lost')
+
+
+@pytest.mark.parametrize(
+    'error',
+    [StoreUnavailableError('status=503'), StoreRateLimitError('status=429')],
+    ids=['unavailable', 'rate_limited'],
+)
+def test_outages_are_logged_and_end(store, make, error):
+    """Guards against an error that ends the follower or is not logged."""
+    found = make(store)
+    found.wait_for(lambda: found.routes.version == 1)
+    store.error = error
+    found.wait_for(lambda: found.events.named('source_lost'))
+    store.error = None
+    store.put('op/config', 'cfg-2')
+    found.wait_for(lambda: found.routes.version == 2)
+    lost = found.events.named('source_lost')[0]
+    assert lost['kind'] == type(error).__name__
+
+
+def test_entries_that_lapse_in_an_outage_stay_for_a_while(store, make):
+    """Guards against a service without targets after the store's return."""
+    found = make(store)
+    found.wait_for(lambda: found.names == {'t-1'})
+    store.error = StoreUnavailableError('down')
+    gevent.sleep(TIMING.stale_s + 0.1)
+    store.remove('servers/1')
+    store.error = None
+    known = next(found.directory.targets())
+    found.wait_for(lambda: known.presence is Presence.LAPSED)
+    assert found.names == {'t-1'}
+    assert found.directory.expire(known.absent_since_s + 3) == [known]
+    assert found.names == set()
+
+
+def test_instances_pass_on_changes(store, make):
+    """Guards against an instance that only knows what the store tells it."""
+    first = make(store)
+    server = PeerServer(
+        Address('127.0.0.1', 0), first.follower.answer, first.events
+    )
+    server.start()
+    try:
+        port = server.port
+        peer = InstanceRecord('i-2', 'a', '127.0.0.1', port)
+        first.wait_for(lambda: first.routes.version == 1)
+        second = make(Store(), Source(peer))
+        second.wait_for(lambda: second.routes.version == 1)
+        store.put('op/config', 'cfg-2')
+        second.wait_for(lambda: second.routes.version == 2)
+        store.error = StoreUnavailableError('down')
+        second.wait_for(lambda: 'i-2' in second.selector.failed)
+    finally:
+        server.close()
+
+
+def test_a_silent_instance_is_given_up(store, make):
+    """Guards against waiting for an instance that is frozen."""
+    listener = gevent.socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(5)
+    peer = InstanceRecord('i-2', 'a', *listener.getsockname())
+    found = make(store, Source(peer), STORE)
+    found.wait_for(lambda: found.routes.version == 1)
+    listener.close()
+    assert found.selector.failed == ['i-2']
--- /dev/null
+++ b/siskinproxy/entry/tests/test_mirror.py
@@ -0,0 +1,91 @@
+"""Copy of the store's items: order of answers, and answers to others."""
+
+import pytest
+
+from siskinproxy.entry import mirror as mirror_module
+from siskinproxy.entry.mirror import StoreMirror
+from siskinproxy.entry.store import ItemRemoved, PrefixChanges, StoredItem
+
+
+def item(key, revision, value=b'v'):
+    return StoredItem(key, value, revision)
+
+
+def full(revision, *items):
+    return PrefixChanges(items, revision, is_complete=True)
+
+
+def part(revision, *items):
+    return PrefixChanges(items, revision, is_complete=False)
+
+
+@pytest.mark.parametrize(
+    ('answers', 'keys'),
+    [
+        ([full(5, item('a', 3), item('b', 5))], 'ab'),
+        ([full(5, item('a', 3)), part(6, item('b', 6))], 'ab'),
+        ([full(5, item('a', 3)), part(6, ItemRemoved('a', 6))], ''),
+        ([full(5, item('a', 3)), full(9, item('b', 8))], 'b'),
+        ([full(9, item('b', 8)), full(5, item('a', 3))], 'b'),
+        (
+            [
+                full(5, item('a', 3)),
+                part(6, ItemRemoved('a', 6)),
+                part(5, item('a', 3)),
+            ],
+            '',
+        ),
+        ([full(5, item('a', 7))], 'a'),
+    ],
+    ids=[
+        'all',
+        'added',
+        'removed',
+        'missing_from_a_newer_answer',
+        'missing_from_an_older_answer',
+        'older_answer_after_a_removal',
+        'written_between_two_pages',
+    ],
+)
+def test_items_after_answers(answers, keys):
+    """Guards against an older answer that replaces a newer one."""
+    mirror = StoreMirror()
+    for answer in answers:
+        mirror.apply(answer)
+    assert ''.join(sorted(mirror.items)) == keys
+
+
+def test_changes_are_reported_once():
+    """Guards against a configuration that is applied twice."""
+    mirror = StoreMirror()
+    answer = full(5, item('a', 3))
+    assert [change.key for change in mirror.apply(answer)] == ['a']
+    assert not mirror.apply(answer)
+
+
+@pytest.mark.parametrize('known', [0, 4, 5, 6, 7])
+def test_an_instance_that_lags_gets_what_it_lacks(known):
+    """Guards against removals that other instances never learn."""
+    source = StoreMirror()
+    source.apply(full(5, item('a', 3), item('b', 5)))
+    source.apply(part(6, ItemRemoved('a', 6)))
+    source.apply(part(7, item('c', 7)))
+    other = StoreMirror()
+    if known:
+        written = (item('a', 3), item('b', 5), item('c', 7))
+        present = [each for each in written if each.revision <= known]
+        other.apply(full(known, *(present[1:] if known > 5 else present)))
+    other.apply(source.changes_after(known))
+    assert other.items == source.items
+    assert other.revision == 7
+
+
+def test_removals_are_bounded(monkeypatch):
+    """Guards against memory that grows with each target that leaves."""
+    monkeypatch.setattr(mirror_module, 'MAX_REMOVALS', 3)
+    mirror = StoreMirror()
+    mirror.apply(full(1))
+    for revision in range(2, 20):
+        mirror.apply(part(revision, ItemRemoved(f'k{revision}', revision)))
+    assert mirror.changes_after(2).is_complete
+    assert not mirror.changes_after(mirror.revision).is_complete
--- /dev/null
+++ b/siskinproxy/entry/tests/test_sources.py
@@ -0,0 +1,90 @@
+"""Choice of whom an instance asks for changes of the store."""
+
+import random
+
+import pytest
+
+from siskinproxy.entry.instances import (
+    InstanceDirectory,
+    InstanceRecord,
+    decode_instance,
+    encode_instance,
+)
+from siskinproxy.entry.sources import STORE, Source, SourceSelector
+from siskinproxy.entry.store import StoredItem
+
+
+def record(name, zone='a'):
+    return InstanceRecord(name, zone, '10.0.0.1', 7720)
+
+
+def selectors(*names, others=()):
+    directory = InstanceDirectory()
+    for name in names:
+        directory.register(record(name))
+    for name in others:
+        directory.register(record(name, 'b'))
+    return {
+        name: SourceSelector(record(name), directory, random.Random(1))
+        for name in names
+    }
+
+
+def test_one_instance_of_a_zone_asks_the_store():
+    """Guards against calls to the store that grow with the fleet."""
+    found = selectors(*(f'i-{number}' for number in range(30)))
+    chosen = {name: selector.choose(0).name for name, selector in found.items()}
+    readers = [name for name, source in chosen.items() if source == 'store']
+    assert len(readers) == 1
+    assert set(chosen.values()) == {'store', readers[0]}
+
+
+def test_the_next_instance_takes_over_from_a_failed_one():
+    """Guards against a zone that follows an instance that is gone."""
+    found = selectors('i-1', 'i-2', 'i-3', 'i-4')
+    first = next(
+        source
+        for source in (each.choose(0) for each in found.values())
+        if source != STORE
+    )
+    del found[first.name]
+    for selector in found.values():
+        if selector.choose(0) == first:
+            selector.note_failed(first, 0)
+    chosen = [selector.choose(0.1).name for selector in found.values()]
+    assert chosen.count('store') == 1
+    assert len(set(chosen)) == 2
+    assert all(each.choose(10) == first for each in found.values())
+
+
+@pytest.mark.parametrize(
+    ('others', 'expected'), [((), 'store'), (('j-1',), 'j-1')]
+)
+def test_other_zones_are_asked_when_the_store_refuses(others, expected):
+    """Guards against an instance that the store alone turns away."""
+    selector = selectors('i-1', others=others)['i-1']
+    selector.note_failed(STORE, 0)
+    assert selector.choose(0.1).name == expected
+    if others:
+        selector.note_failed(Source(record('j-1', 'b')), 0.2)
+        assert selector.choose(0.3) == STORE
+    assert selector.choose(2) == STORE
+
+
+def test_registrations_are_read_back():
+    """Guards against an instance that registers under another's name."""
+    value = encode_instance(record('i-1'))
+    key = 'siskinproxy/instances/i-1'
+    assert decode_instance(StoredItem(key, value, 1)) == record('i-1')
+    assert decode_instance(StoredItem(f'{key}1', value, 1)) is None
+    assert decode_instance(StoredItem(key, b'{}', 1)) is None
+
+
+def test_departed_instances_still_count_as_senders():
+    """Guards against a cold target that gets the share of a cut-off one."""
+    directory = InstanceDirectory()
+    directory.register(record('i-1'))
+    directory.register(record('i-2'))
+    directory.remove('i-2', 10)
+    assert set(directory.possible_senders(20)) == {'i-1', 'i-2'}
+    assert set(directory.possible_senders(41)) == {'i-1'}
--- a/siskinproxy/platform/entry_main.py
+++ b/siskinproxy/platform/entry_main.py
@@ -8,21 +8,12 @@
 from siskinproxy.entry.settings import EntrySettings
 from siskinproxy.platform.http_store import HttpStore
 from siskinproxy.platform.packets import PlatformCodec
-from siskinproxy.platform.records import (
-    OPERATIONS_PREFIX,
-    TARGETS_PREFIX,
-    decode_item,
-)
+from siskinproxy.platform.records import WATCHED_PREFIX, decode_item
 from siskinproxy.settings_file import read_settings, run_or_exit
 
 __all__ = ('main',)
 
-_DIALECT = Dialect(
-    targets_prefix=TARGETS_PREFIX,
-    operations_prefix=OPERATIONS_PREFIX,
-    instances_prefix='siskinproxy/instances/',
-    decode=decode_item,
-)
+_DIALECT = Dialect(prefix=WATCHED_PREFIX, decode=decode_item)
 
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'SISKINPROXY_BOOT'
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -21,7 +21,6 @@
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _HISTORY_LOST: Final = 410
-_PRECONDITION_FAILED: Final = 412
 _TOO_MANY: Final = 429
 
 #: Longest watch that the store accepts, in milliseconds.
@@ -122,26 +121,19 @@
             raise LeaseLostError(f'lease={lease_id}')
         _check(answer)
 
-    def create(self, key: str, value: bytes, lease_id: int) -> bool:
-        """Write a key that must not exist."""
+    def put(self, key: str, value: bytes, lease_id: int) -> None:
+        """Write a key, which is removed when the lease ends."""
         write = {'key': key, 'value': value, 'lease': lease_id}
-        change = {
-            'precondition': [{'key': key, 'rev': 0}],
-            'writes': [write],
-            'remove': [],
-        }
+        change = {'precondition': [], 'writes': [write], 'remove': []}
         answer = self._http.call(
             'POST',
             '/siskinproxy/kv-txn',
             msgspec.json.encode(change),
             writes=True,
         )
-        if answer.status == _PRECONDITION_FAILED:
-            return False
         if answer.status == _NOT_FOUND:
             raise LeaseLostError(f'lease={lease_id}')
         _check(answer)
-        return True
 
     def end_lease(self, lease_id: int) -> None:
         """End a lease and remove its keys."""
--- a/siskinproxy/platform/records.py
+++ b/siskinproxy/platform/records.py
@@ -20,13 +20,13 @@
 )
 from siskinproxy.entry.store import StoredItem
 
-__all__ = ('OPERATIONS_PREFIX', 'TARGETS_PREFIX', 'decode_item')
+__all__ = ('WATCHED_PREFIX', 'decode_item')
 
-#: Keys that operators write.
-OPERATIONS_PREFIX: Final = 'op/'
-#: Keys that targets write.
-TARGETS_PREFIX: Final = 'servers/'
+#: Start of all keys that matter: those of operators, of targets and the
+#: product's own. One watch on all of them costs one call instead of three.
+WATCHED_PREFIX: Final = ''
 
+_TARGETS: Final = 'servers/'
 _CONFIGURATION: Final = 'op/config'
 _EVACUATION: Final = 'op/evacuate/'
 
@@ -105,7 +105,7 @@
         operators exist.
     """
     try:
-        if item.key.startswith(TARGETS_PREFIX):
+        if item.key.startswith(_TARGETS):
             return _target(item)
         if item.key == _CONFIGURATION:
             return _configuration(item.value)
@@ -117,7 +117,7 @@
 
 
 def _target(item: StoredItem) -> Statement:
-    name = item.key.removeprefix(TARGETS_PREFIX)
+    name = item.key.removeprefix(_TARGETS)
     found = _TARGET_ID.fullmatch(name)
     if found is None:
         return UnusableRecord('no id in the key')
