Report flows in progress between instances; let openings wait when all are busy

Cause: after all instances lost power, the callers' repeated openings arrive at 450 a second where 190 are usual and 400 can be worked on. All of them went to the targets' queues, and requests took 250 to 300 ms for a second and a half. An opening whose acknowledgement passed through another instance was sent to a further target every 30 ms until its deadline.

Change: instances report their flows in progress (all others every 50 ms while targets are busy, their own zone every 250 ms otherwise); placing uses the sum. From two flows a slot on, openings wait at the instance: what can still meet its objective first, the newest first, refused 100 ms before the caller gives up. Flows cease to count after three usual durations, and ends and copies that another instance sees are reported by hash. An opening moves once by timer, and not if its target answers others.

--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -1,6 +1,9 @@
 """Packet decisions of an entry process, without sockets and clocks."""
 
+import math
+import zlib
 from collections import Counter, deque
+from collections.abc import Iterable
 from typing import Any, Final, Protocol
 
 import msgspec
@@ -14,10 +17,16 @@
     PacketCodec,
     PacketHead,
 )
-from siskinproxy.entry.placing import Placement, PlacementReason, Placer
+from siskinproxy.entry.placing import (
+    FULL_LOAD,
+    Placement,
+    PlacementReason,
+    Placer,
+)
 from siskinproxy.entry.records import NO_TOKEN, Address
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import ActiveRoute, RouteTable
+from siskinproxy.entry.waiting import WaitingOpening, WaitingOpenings
 
 __all__ = ('EngineTiming', 'EntryEngine', 'EventSink', 'Outbox')
 
@@ -52,6 +61,11 @@
     pause_s : float
         Time between two runs of the process after which it counts as paused;
         what it missed meanwhile says nothing about targets.
+    release_s : float
+        Time between two looks at openings that wait, besides those when a
+        flow ends.
+    least_counted_s : float
+        Least time for which a flow counts whose closing packet is not seen.
     flow_grace_s : float
         Time after the deadline of a request at which its flow counts as ended.
     zone_out_s : float
@@ -64,6 +78,8 @@
     most_answer_s: float = 0.15
     answer_factor: float = 4.0
     pause_s: float = 0.25
+    release_s: float = 0.02
+    least_counted_s: float = 0.25
     flow_grace_s: float = 1.0
     zone_out_s: float = 4.0
     dropped_route_s: float = 2.0
@@ -73,6 +89,14 @@
 _ANSWER_WEIGHT: Final = 1 / 16
 #: Usual time to an answer before any was seen, in seconds.
 _FIRST_ANSWER_S: Final = 0.02
+#: Weight of a closed flow in the usual duration of flows.
+_DURATION_WEIGHT: Final = 1 / 16
+#: Usual duration of a flow before any was seen, in seconds.
+_FIRST_DURATION_S: Final = 0.1
+#: Usual durations for which a flow counts whose closing packet is not seen.
+#: Closing packets pass through another instance after each change of the
+#: fabric, and slots must not be held for flows that have ended.
+_COUNTED_DURATIONS: Final = 3
 
 
 class EntryEngine:
@@ -124,8 +148,11 @@
         self._outbox = outbox
         self._events = events
         self._timing = timing or EngineTiming()
+        self.waiting = WaitingOpenings()
+        self._ended_elsewhere: set[int] = set()
         self._unanswered: deque[tuple[float, OpenedFlow]] = deque()
         self._usual_answer_s = _FIRST_ANSWER_S
+        self._usual_duration_s = _FIRST_DURATION_S
         self._ran_s: float | None = None
 
     @property
@@ -169,10 +196,35 @@
         float or None
             When to call again, in seconds; None if nothing is pending.
         """
-        for expired in self.flows.expired(now_s):
-            self._end(expired)
+        for uncounted in self.flows.uncounted(now_s):
+            self._uncount(uncounted)
+        self.flows.forget_expired(now_s)
         if self._was_paused(now_s):
             self._postpone(now_s)
+        due_s = self._check_unanswered(now_s)
+        if not self.waiting:
+            return due_s
+        self.release(now_s)
+        retry_s = now_s + self._timing.release_s
+        return retry_s if due_s is None else min(due_s, retry_s)
+
+    def release(self, now_s: float) -> None:
+        """Open waiting flows for which a target is free; refuse late ones."""
+        for late in self.waiting.overdue(now_s):
+            self.waiting.remove(late)
+            self._refuse(late.head, 'waited_too_long')
+        for opening in self.waiting.in_order(now_s):
+            self._try_to_open(opening, now_s)
+
+    def _try_to_open(self, opening: WaitingOpening, now_s: float) -> None:
+        placement = self._place(
+            opening.route, opening.head.flow, now_s, full_load=FULL_LOAD
+        )
+        if placement.target is not None:
+            self.waiting.remove(opening)
+            self._open(opening, placement, now_s)
+
+    def _check_unanswered(self, now_s: float) -> float | None:
         while self._unanswered:
             due_s, flow = self._unanswered[0]
             is_open = self.flows.get(flow.key) is flow
@@ -180,9 +232,22 @@
                 return due_s
             self._unanswered.popleft()
             if is_open and not flow.is_answered:
-                self._on_unanswered(flow, now_s)
+                self._on_late_answer(flow, now_s)
         return None
 
+    def _on_late_answer(self, flow: OpenedFlow, now_s: float) -> None:
+        """Move an opening, once, unless its target answers other callers.
+
+        The answer may also be missing here because the caller's packets take
+        another way; then a second target would only disturb the flow.
+        """
+        self._note_missed(flow, now_s)
+        if flow.tried or self._responsiveness.has_answered_since(
+            flow.target, flow.sent_s
+        ):
+            return
+        self._move(flow, now_s)
+
     def _on_opening(
         self, head: PacketHead, packet: bytes, now_s: float
     ) -> None:
@@ -191,18 +256,47 @@
             self._on_copy(flow, packet, now_s)
             return
         if flow is not None:
-            self._end(flow)
+            self._uncount(flow)
+            self.flows.remove(flow)
         route = self._routes.find(head.destination)
         if route is None:
             self._refuse(head, 'no_route')
             return
-        placement = self._place(route, head.flow, now_s)
-        if placement.target is None:
+        if head.copy:
+            # Another instance may hold an earlier copy.
+            self._ended_elsewhere.add(zlib.crc32(head.flow))
+        opening = WaitingOpening(head, packet, route, now_s)
+        # Openings that wait go first, if they should.
+        placement = self._place(route, head.flow, now_s, full_load=FULL_LOAD)
+        if placement.target is not None:
+            self._open(opening, placement, now_s)
+        elif placement.reason is PlacementReason.NO_TARGET:
             self._refuse(head, placement.reason.value)
-            return
-        flow = OpenedFlow(head, packet, route, placement.target, now_s)
-        expires_s = now_s + route.record.deadline_s + self._timing.flow_grace_s
+        elif head.flow not in self.waiting:
+            self.waiting.add(opening)
+            self.counters['waited'] += 1
+            self._events.event(
+                'flow_waits',
+                flow=head.caller,
+                route=route.record.name,
+                reason=placement.reason.value,
+                waiting=len(self.waiting),
+            )
+
+    def _open(
+        self, opening: WaitingOpening, placement: Placement, now_s: float
+    ) -> None:
+        record = opening.route.record
+        flow = OpenedFlow(
+            opening.head,
+            opening.packet,
+            opening.route,
+            placement.target,
+            now_s,
+        )
+        expires_s = now_s + record.deadline_s + self._timing.flow_grace_s
         self.flows.add(flow, expires_s)
+        self.flows.count_until(flow, now_s + self._counted_life_s)
         self._placer.note_started(placement.target)
         self._send_opening(flow, placement, now_s)
         self.counters['opened'] += 1
@@ -214,30 +308,34 @@
         if flow.is_answered or now_s - flow.sent_s < self.answer_limit_s:
             self._forward(flow.target, packet)
             return
-        self._on_unanswered(flow, now_s)
+        self._note_missed(flow, now_s)
+        self._move(flow, now_s)
 
-    def _on_unanswered(self, flow: OpenedFlow, now_s: float) -> None:
-        target = flow.target
-        if not flow.was_missed:
-            flow.was_missed = True
-            self.counters['unanswered'] += 1
-            suspected = self._responsiveness.note_missed(
-                target, flow.sent_s, now_s
+    def _note_missed(self, flow: OpenedFlow, now_s: float) -> None:
+        if flow.was_missed:
+            return
+        flow.was_missed = True
+        self.counters['unanswered'] += 1
+        suspected = self._responsiveness.note_missed(
+            flow.target, flow.sent_s, now_s
+        )
+        if suspected:
+            self._events.event(
+                'target_suspected',
+                target=flow.target.name,
+                suspected=len(suspected),
+                waited_ms=round(1000 * (now_s - flow.sent_s)),
             )
-            if suspected:
-                self._events.event(
-                    'target_suspected',
-                    target=target.name,
-                    suspected=len(suspected),
-                    waited_ms=round(1000 * (now_s - flow.sent_s)),
-                )
+
+    def _move(self, flow: OpenedFlow, now_s: float) -> None:
+        target = flow.target
         tried = (*flow.tried, target)
         placement = self._place(flow.route, flow.key, now_s, tried)
         if placement.target is None:
             return
-        self._placer.note_ended(target)
-        self._placer.note_started(placement.target)
+        self._uncount(flow)
         flow.move_to(placement.target, now_s)
+        self._count(flow, now_s + self._counted_life_s)
         self._events.event(
             'opening_moved',
             flow=flow.head.caller,
@@ -266,12 +364,16 @@
         key: bytes,
         now_s: float,
         tried: tuple[KnownTarget, ...] = (),
+        *,
+        full_load: float = math.inf,
     ) -> Placement:
         service = route.service_of(key)
         record = self._routes.services.get(service)
         rate_per_s = record.warmup_per_s if record else 0
         candidates = self._directory.of_service(service)
-        return self._placer.choose(candidates, rate_per_s, now_s, tried)
+        return self._placer.choose(
+            candidates, rate_per_s, now_s, tried, full_load=full_load
+        )
 
     def _refuse(self, head: PacketHead, reason: str) -> None:
         """Reset a flow that is not open, so its request has not run."""
@@ -290,6 +392,9 @@
         self, head: PacketHead, packet: bytes, now_s: float
     ) -> None:
         flow = self.flows.get(head.flow)
+        if self.waiting and head.flow in self.waiting:
+            # The caller has given up, or another instance has opened it.
+            self.waiting.discard(head.flow)
         target = self._target_of(head, flow, now_s)
         if target is None:
             return
@@ -299,8 +404,8 @@
             return
         self._forward(target, packet)
         self.counters['forwarded'] += 1
-        if flow is not None and head.flags & (FIN | RST):
-            self._end(flow)
+        if head.flags & (FIN | RST):
+            self._on_closing(head.flow, flow, now_s)
 
     def _target_of(
         self, head: PacketHead, flow: OpenedFlow | None, now_s: float
@@ -345,16 +450,62 @@
             waited_s = now_s - flow.sent_s
             difference_s = waited_s - self._usual_answer_s
             self._usual_answer_s += _ANSWER_WEIGHT * difference_s
-        else:
-            self._placer.note_ended(flow.target)
-            self._placer.note_started(target)
-            flow.target = target
+        self._uncount(flow)
+        flow.target = target
+        self._count(flow, now_s + self._counted_life_s)
         if self._responsiveness.note_answered(target, now_s):
             self._events.event('target_trusted', target=target.name)
 
-    def _end(self, flow: OpenedFlow) -> None:
-        self.flows.remove(flow)
-        self._placer.note_ended(flow.target)
+    def _on_closing(
+        self, key: bytes, flow: OpenedFlow | None, now_s: float
+    ) -> None:
+        if flow is None:
+            self._ended_elsewhere.add(zlib.crc32(key))
+        elif flow.is_counted:
+            self._uncount(flow)
+            duration_s = now_s - flow.sent_s
+            difference_s = duration_s - self._usual_duration_s
+            self._usual_duration_s += _DURATION_WEIGHT * difference_s
+        if self.waiting:
+            self.release(now_s)
+
+    def take_ended_elsewhere(self) -> tuple[int, ...]:
+        """Return hashes of flows that ended here but were opened elsewhere.
+
+        Returns
+        -------
+        tuple of int
+            Those since the last call, for the next report.
+        """
+        ended = tuple(self._ended_elsewhere)
+        self._ended_elsewhere.clear()
+        return ended
+
+    def on_ended_elsewhere(self, hashes: Iterable[int], now_s: float) -> None:
+        """Cease to count flows that another instance ended or took over."""
+        for number in hashes:
+            flow = self.flows.get_by_hash(number)
+            if flow is not None:
+                self._uncount(flow)
+            self.waiting.discard_hash(number)
+        if self.waiting:
+            self.release(now_s)
+
+    @property
+    def _counted_life_s(self) -> float:
+        """Time for which a flow counts if its closing packet is not seen."""
+        life_s = _COUNTED_DURATIONS * self._usual_duration_s
+        return max(life_s, self._timing.least_counted_s)
+
+    def _count(self, flow: OpenedFlow, until_s: float) -> None:
+        flow.is_counted = True
+        self._placer.note_started(flow.target)
+        self.flows.count_until(flow, until_s)
+
+    def _uncount(self, flow: OpenedFlow) -> None:
+        if flow.is_counted:
+            flow.is_counted = False
+            self._placer.note_ended(flow.target)
 
     def _forward(self, target: KnownTarget, packet: bytes) -> None:
         record = target.record
--- a/siskinproxy/entry/placing.py
+++ b/siskinproxy/entry/placing.py
@@ -1,10 +1,11 @@
 """Choice of the target of a new flow.
 
-Answers the load of ordinary days: each instance sees a part of the flows, so
-it prefers the targets of its own zone, whose flows it sees a larger part of.
+Answers the load of ordinary days: the target with the fewest flows for each
+slot, by what all instances report, one of the own zone if it is about as busy.
 """
 
 import enum
+import math
 import random
 from collections.abc import Collection
 from typing import Final
@@ -13,13 +14,28 @@
 
 from siskinproxy.entry.cold_limit import ColdLimit
 from siskinproxy.entry.directory import KnownTarget
+from siskinproxy.entry.load_view import LoadView
 from siskinproxy.entry.responsiveness import Responsiveness
 
-__all__ = ('Placement', 'PlacementReason', 'Placer')
+__all__ = (
+    'FULL_LOAD',
+    'Placement',
+    'PlacementReason',
+    'Placer',
+)
 
 #: Flows per slot that a target of another zone must have less for it to be
 #: preferred to one of the own zone.
 ZONE_PENALTY: Final = 0.3
+#: Flows per slot at which a target gets no more. Above 1, since a flow also
+#: counts while its first and last packets are under way, and since reports of
+#: other instances are some tens of milliseconds old.
+FULL_LOAD: Final = 2.0
+#: Flows per slot of the least loaded target from which on placing needs to
+#: know what other instances have in progress.
+BUSY_LOAD: Final = 0.4
+#: Time for which that holds on, in seconds, so that reports do not come and go.
+BUSY_S: Final = 1.0
 
 
 class PlacementReason(enum.Enum):
@@ -31,6 +47,7 @@
     ALL_SUSPECTED = 'all_suspected'
     NO_TARGET = 'no_target'
     COLD_LIMIT = 'cold_limit'
+    ALL_BUSY = 'all_busy'
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -49,7 +66,7 @@
 
 
 class Placer:
-    """Places new flows by the flows that this instance has in progress.
+    """Places new flows by the flows in progress.
 
     Parameters
     ----------
@@ -59,6 +76,8 @@
         Limit on the flows of cold targets.
     responsiveness : Responsiveness
         Which targets are suspected to be silent.
+    loads : LoadView
+        Flows in progress.
     rng : random.Random
         Source of the choice among equal targets.
     """
@@ -68,22 +87,23 @@
         zone: str,
         cold_limit: ColdLimit,
         responsiveness: Responsiveness,
+        loads: LoadView,
         rng: random.Random,
     ) -> None:
         self._zone = zone
         self._cold_limit = cold_limit
         self._responsiveness = responsiveness
+        self._loads = loads
         self._rng = rng
-        self._in_progress: dict[str, int] = {}
+        self._busy_until_s: float = 0
 
-    def in_progress(self, target: KnownTarget) -> int:
-        """Return the flows of a target that this instance opened."""
-        return self._in_progress.get(target.name, 0)
+    def is_busy(self, now_s: float) -> bool:
+        """Return whether the least loaded targets were in use lately."""
+        return now_s < self._busy_until_s
 
     def note_started(self, target: KnownTarget) -> None:
         """Count a flow."""
-        count = self._in_progress.get(target.name, 0)
-        self._in_progress[target.name] = count + 1
+        self._loads.note_started(target)
 
     def note_sent(self, target: KnownTarget, now_s: float) -> None:
         """Count an opening packet."""
@@ -92,11 +112,7 @@
 
     def note_ended(self, target: KnownTarget) -> None:
         """Count the end of a flow."""
-        count = self._in_progress.get(target.name, 0)
-        if count > 1:
-            self._in_progress[target.name] = count - 1
-        else:
-            self._in_progress.pop(target.name, None)
+        self._loads.note_ended(target)
 
     def choose(
         self,
@@ -104,6 +120,8 @@
         cold_rate_per_s: float,
         now_s: float,
         tried: Collection[KnownTarget] = (),
+        *,
+        full_load: float = math.inf,
     ) -> Placement:
         """Choose the target of a new flow.
 
@@ -117,6 +135,8 @@
             Current time in seconds.
         tried : collection of KnownTarget
             Targets that did not answer the flow; used only if no other is.
+        full_load : float
+            Flows per slot from which on a target is not chosen.
 
         Returns
         -------
@@ -146,8 +166,15 @@
             placement = self._least_loaded(
                 group, reason, cold_rate_per_s, now_s
             )
-            if placement is not None:
-                return placement
+            if placement is None:
+                continue
+            load = self._loads.flows(placement.target)
+            load /= placement.target.record.slots
+            if load >= BUSY_LOAD:
+                self._busy_until_s = now_s + BUSY_S
+            if load >= full_load:
+                return Placement(None, PlacementReason.ALL_BUSY)
+            return placement
         return Placement(None, PlacementReason.COLD_LIMIT)
 
     def _probe(
@@ -191,8 +218,7 @@
         return self._cold_limit.allows(target, cold_rate_per_s, now_s)
 
     def _load(self, target: KnownTarget) -> tuple[float, float]:
-        flows = self._in_progress.get(target.name, 0)
-        load = flows / target.record.slots
+        load = self._loads.flows(target) / target.record.slots
         if target.record.zone != self._zone:
             load += ZONE_PENALTY
         return load, self._rng.random()
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -16,6 +16,12 @@
 from siskinproxy.entry.event_log import BoundedLog
 from siskinproxy.entry.follower import ChangeFollower
 from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
+from siskinproxy.entry.load_exchange import LoadExchange
+from siskinproxy.entry.load_view import (
+    LoadReport,
+    LoadView,
+    report_receivers,
+)
 from siskinproxy.entry.packet_socket import PacketSocket
 from siskinproxy.entry.packets import PacketCodec
 from siskinproxy.entry.peer_link import PeerServer
@@ -38,6 +44,9 @@
 #: Time after the signal to stop in which packets are still forwarded: the
 #: fabric asks twice a second and stops delivering after two refusals.
 FORWARD_AFTER_STOP_S: Final = 2.5
+#: Time after the start in which callers may still repeat what was lost while
+#: the process was down, in seconds.
+STARTING_S: Final = 2.0
 #: Part of the zone-out bound after which nothing is sent any more; the rest
 #: covers the delay of the change.
 ZONE_OUT_SHARE: Final = 0.8
@@ -100,6 +109,7 @@
             cfg.instance.name,
             ColdBounds(cfg.bounds.cold_factor, cfg.bounds.cold_slack),
         )
+        self._loads = LoadView()
         self._socket = PacketSocket(
             parse_endpoint(cfg.listeners.packet),
             self._on_packet,
@@ -130,6 +140,17 @@
             record.address, self._follower.answer, self.log
         )
         self._registration = Registration(store, record, self.log)
+        self._record = record
+        self._receivers: tuple[InstanceRecord, ...] = ()
+        self._exchange = LoadExchange(
+            record.address,
+            self._loads,
+            self._build_report,
+            self._choose_receivers,
+            self._needs_reports,
+            self.engine.on_ended_elsewhere,
+            time.monotonic,
+        )
         self._greenlets: list[gevent.Greenlet] = []
         self._timer_due_s: float | None = None
 
@@ -142,6 +163,7 @@
         self._follower.start()
         self._peer_server.start()
         self._registration.start()
+        self._exchange.start()
         self._greenlets.append(gevent.spawn(self._keep_house))
         gevent.signal_handler(signal.SIGTERM, self._on_stop_signal)
         gevent.signal_handler(signal.SIGINT, self._on_stop_signal)
@@ -154,6 +176,7 @@
     def close(self) -> None:
         """Close everything that `start` opened."""
         gevent.killall(self._greenlets)
+        self._exchange.close()
         self._registration.close()
         self._follower.close()
         self._peer_server.close()
@@ -166,10 +189,11 @@
         self.log.close()
 
     def _build_engine(self, codec: PacketCodec) -> EntryEngine:
-        placer = Placer(
+        self._placer = Placer(
             self._cfg.instance.zone,
             self._cold_limit,
             self._responsiveness,
+            self._loads,
             random.Random(),
         )
         zone_out_s = ZONE_OUT_SHARE * self._cfg.bounds.zone_out_ms / 1000
@@ -177,7 +201,7 @@
             codec,
             self._directory,
             self._routes,
-            placer,
+            self._placer,
             self._responsiveness,
             self._socket,
             self.log,
@@ -187,6 +211,7 @@
     def _keep_house(self) -> None:
         while not self._beliefs.is_complete:
             gevent.sleep(0.01)
+        self._update_fleet(time.monotonic())
         self._socket.start()
         self._readiness = Readiness.READY
         self.log.event(
@@ -204,8 +229,40 @@
                 )
             senders = self._instances.possible_senders(now_s)
             self._cold_limit.set_instances(senders)
+            self._update_fleet(now_s)
             self._run_timer()
 
+    def _update_fleet(self, now_s: float) -> None:
+        registered = tuple(self._instances.registered())
+        receivers = report_receivers(self._record, registered)
+        self._receivers = receivers
+        self._loads.expire(now_s)
+        self._loads.set_fleet(self._record.zone, registered)
+
+    def _build_report(self) -> LoadReport:
+        return LoadReport(
+            self._record.name,
+            self._record.zone,
+            self._readiness is Readiness.STOPPING,
+            dict(self._loads.own_flows),
+            self.engine.take_ended_elsewhere(),
+        )
+
+    def _choose_receivers(self) -> tuple[Address, ...]:
+        """Return who gets a report: other zones only if targets are busy."""
+        is_busy = self._needs_reports()
+        zone = self._record.zone
+        return tuple(
+            each.address
+            for each in self._receivers
+            if is_busy or each.zone == zone
+        )
+
+    def _needs_reports(self) -> bool:
+        now_s = time.monotonic()
+        is_starting = now_s - self._started_s < STARTING_S
+        return is_starting or self._placer.is_busy(now_s)
+
     def _on_packet(self, packet: bytes) -> None:
         self.engine.on_packet(packet, time.monotonic())
 
--- a/siskinproxy/entry/responsiveness.py
+++ b/siskinproxy/entry/responsiveness.py
@@ -68,6 +68,11 @@
         record = self._records.get(target.name)
         return record is not None and record.is_suspected
 
+    def has_answered_since(self, target: KnownTarget, sent_s: float) -> bool:
+        """Return whether an answer of the target was seen since a time."""
+        record = self._records.get(target.name)
+        return record is not None and record.answered_s >= sent_s
+
     def may_probe(self, target: KnownTarget, now_s: float) -> bool:
         """Return whether a suspected target should be tried again."""
         record = self._records.get(target.name)
--- /dev/null
+++ b/siskinproxy/entry/tests/test_waiting.py
@@ -0,0 +1,204 @@
+"""Openings that wait: their order, and what callers get in a burst."""
+
+import random
+
+import pytest
+
+from siskinproxy.entry.packets import SYN
+from siskinproxy.entry.placing import FULL_LOAD
+from siskinproxy.entry.tests.fakes import (
+    Instance,
+    configuration,
+    packet,
+    route,
+    target,
+)
+from siskinproxy.entry.waiting import WaitingOpening, WaitingOpenings
+from siskinproxy.platform.packets import PlatformCodec
+
+CODEC = PlatformCodec(8172)
+SLOTS = 4
+FULL = int(FULL_LOAD * SLOTS)
+
+
+def opening(port, now_s, copy=0, **fields):
+    data = packet(port, copy=copy)
+    record = route(**fields)
+    instance = Instance(cfg=configuration(routes=(record,)))
+    active = instance.routes.find(record.destination)
+    return WaitingOpening(CODEC.read_head(data), data, active, now_s)
+
+
+def ports(waiting, now_s):
+    return [
+        int.from_bytes(each.head.flow[4:6]) for each in waiting.in_order(now_s)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('openings', 'expected'),
+    [
+        ([(1, 0.0, 0, 2), (2, 0.1, 0, 2)], [2, 1]),
+        ([(1, 0.0, 0, 1), (2, 0.1, 0, 2)], [1, 2]),
+        ([(1, 0.1, 1, 1), (2, 0.0, 0, 2)], [2, 1]),
+        ([(1, 0.1, 2, 2), (2, 0.1, 1, 2)], [2, 1]),
+    ],
+    ids=['newest', 'priority', 'late_after_timely', 'late_by_age'],
+)
+def test_order(openings, expected):
+    """Guards against timely requests that wait behind late ones."""
+    waiting = WaitingOpenings()
+    for port, now_s, copy, priority in openings:
+        waiting.add(opening(port, now_s, copy, priority=priority))
+    assert ports(waiting, 0.1) == expected
+
+
+@pytest.mark.parametrize(
+    ('copy', 'refused_at_s'), [(0, 1.3), (1, 1.1), (2, 0.7)]
+)
+def test_openings_are_refused_before_their_caller_gives_up(copy, refused_at_s):
+    """Guards against an answer that comes after the caller has left."""
+    waiting = WaitingOpenings()
+    waiting.add(opening(1, 0, copy))
+    assert not list(waiting.overdue(refused_at_s - 0.01))
+    assert list(waiting.overdue(refused_at_s + 0.01))
+
+
+def busy_instance():
+    instance = Instance(targets=[target(1, slots=SLOTS)])
+    for port in range(1000, 1000 + FULL):
+        record = instance.open(port, 0)
+        instance.answer(port, record, 0.001)
+    return instance
+
+
+def test_openings_wait_while_all_targets_are_busy():
+    """Guards against queues at targets that delay all requests alike."""
+    instance = busy_instance()
+    instance.engine.on_packet(packet(2000), 0.01)
+    assert not instance.outbox.take()
+    assert len(instance.engine.waiting) == 1
+    closing = packet(1000, flags=4, token=target(1).token)
+    instance.engine.on_packet(closing, 0.02)
+    opened = [frame for _, frame in instance.outbox.take() if frame[22] & 64]
+    assert len(opened) == 1
+    assert not len(instance.engine.waiting)
+
+
+def test_a_copy_does_not_wait_twice():
+    """Guards against an opening that leaves for two targets."""
+    instance = busy_instance()
+    for copy in range(3):
+        instance.engine.on_packet(packet(2000, copy=copy), 0.01)
+    assert len(instance.engine.waiting) == 1
+
+
+def test_an_opening_that_another_instance_got_stops_waiting():
+    """Guards against two instances that open one flow at two targets."""
+    instance = busy_instance()
+    instance.engine.on_packet(packet(2000), 0.01)
+    other = busy_instance()
+    other.engine.on_packet(packet(2000, copy=1), 0.2)
+    instance.engine.on_ended_elsewhere(
+        other.engine.take_ended_elsewhere(), 0.21
+    )
+    assert not len(instance.engine.waiting)
+
+
+def test_slots_are_not_held_for_flows_that_ended_elsewhere():
+    """Guards against openings that wait for flows that have ended.
+
+    Before, flows whose closing packet passed through another instance held
+    their slots until their deadline, and half of the requests were refused.
+    """
+    instance = busy_instance()
+    other = Instance(targets=[target(1, slots=SLOTS)])
+    for port in range(1000, 1000 + FULL):
+        closing = packet(port, flags=4, token=target(1).token)
+        other.engine.on_packet(closing, 0.05)
+    instance.engine.on_packet(packet(2000), 0.06)
+    instance.engine.on_ended_elsewhere(
+        other.engine.take_ended_elsewhere(), 0.07
+    )
+    assert not len(instance.engine.waiting)
+    assert instance.loads.own(next(instance.directory.targets())) == 1
+
+
+def test_slots_are_released_when_no_closing_packet_is_seen():
+    """Guards against slots that are held until the deadline."""
+    instance = busy_instance()
+    instance.engine.on_packet(packet(2000), 0.06)
+    instance.engine.on_timer(0.6)
+    assert not len(instance.engine.waiting)
+
+
+def test_burst_serves_new_requests_in_time():
+    """Plays a second of twice the capacity after an outage.
+
+    Requests that were sent during the outage are late whatever is done; those
+    that are sent afterwards have to be answered within their objective.
+    """
+    served = play_burst(seed=3)
+    timely = [waited_s for is_old, waited_s in served if not is_old]
+    in_time = sum(waited_s <= 0.25 for waited_s in timely)
+    assert in_time / len(timely) >= 0.9
+    assert len(served) >= 0.9 * BURST_OLD
+
+
+BURST_OLD = 60
+WORK_S = 0.06
+
+
+def play_burst(seed):
+    """Return whether each served request was old, and its time to an answer.
+
+    Four targets work on four requests at a time. Old requests arrive at once,
+    as copies; new ones arrive at 70% of the capacity.
+    """
+    rng = random.Random(seed)
+    records = [target(number, slots=SLOTS) for number in range(1, 5)]
+    instance = Instance(targets=records, seed=seed)
+    arrivals = [(0.0, port, 2) for port in range(1, BURST_OLD + 1)]
+    rate_per_s = 0.7 * len(records) * SLOTS / WORK_S
+    new = [
+        (rng.random(), 1000 + number, 0) for number in range(int(rate_per_s))
+    ]
+    arrivals.extend(new)
+    arrivals.sort()
+    sent_s = {port: now_s for now_s, port, _ in arrivals}
+    busy = {record.address: [0.0] * SLOTS for record in records}
+    token = {record.address: record.token for record in records}
+    ends = []
+    served = []
+
+    def start(now_s):
+        for address, frame in instance.outbox.take():
+            if address not in busy or not frame[22] & 64:
+                continue
+            port = int.from_bytes(frame[14:16])
+            acknowledgement = packet(port, flags=2, token=token[address])
+            instance.engine.on_packet(acknowledgement, now_s)
+            slots = busy[address]
+            slot = slots.index(min(slots))
+            slots[slot] = max(slots[slot], now_s) + WORK_S
+            ends.append((slots[slot], port, address))
+            ends.sort()
+
+    def advance(now_s):
+        while ends and ends[0][0] <= now_s:
+            end_s, port, address = ends.pop(0)
+            served.append((port <= BURST_OLD, end_s - sent_s[port]))
+            closing = packet(port, flags=4, token=token[address])
+            instance.engine.on_packet(closing, end_s)
+            start(end_s)
+
+    for now_s, port, copy in arrivals:
+        advance(now_s)
+        instance.engine.on_packet(packet(port, SYN, copy=copy), now_s)
+        start(now_s)
+    for step in range(100):
+        now_s = 1 + step / 50
+        advance(now_s)
+        instance.engine.on_timer(now_s)
+        start(now_s)
+    return served
