Add metrics and lines for each opening; gather changes; mend make measure

Cause: a request's flow could not be followed to its target; each event of the store cost a call per watching instance; make measure ended after four rows, since its baselines lacked usage and no test ran the command.

--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -10,6 +10,7 @@
 
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
 from siskinproxy.entry.flows import FlowTable, OpenedFlow
+from siskinproxy.entry.metrics import Histogram
 from siskinproxy.entry.packets import (
     FIN,
     RST,
@@ -125,6 +126,12 @@
     ----------
     counters : Counter
         Packets and flows by outcome.
+    flows : FlowTable
+        Flows that this instance opened.
+    waiting : WaitingOpenings
+        Openings that wait for a target.
+    answer_times, flow_times, wait_times : Histogram
+        Durations of openings, flows and waits.
     """
 
     def __init__(
@@ -151,6 +158,9 @@
         self.waiting = WaitingOpenings()
         self._ended_elsewhere: set[int] = set()
         self._unanswered: deque[tuple[float, OpenedFlow]] = deque()
+        self.answer_times = Histogram()
+        self.flow_times = Histogram()
+        self.wait_times = Histogram()
         self._usual_answer_s = _FIRST_ANSWER_S
         self._usual_duration_s = _FIRST_DURATION_S
         self._ran_s: float | None = None
@@ -198,6 +208,8 @@
         """
         for uncounted in self.flows.uncounted(now_s):
             self._uncount(uncounted)
+            if not uncounted.is_answered:
+                self._report_unanswered(uncounted, now_s)
         self.flows.forget_expired(now_s)
         if self._was_paused(now_s):
             self._postpone(now_s)
@@ -222,6 +234,7 @@
         )
         if placement.target is not None:
             self.waiting.remove(opening)
+            self.wait_times.observe(now_s - opening.arrived_s)
             self._open(opening, placement, now_s)
 
     def _check_unanswered(self, now_s: float) -> float | None:
@@ -300,6 +313,16 @@
         self._placer.note_started(placement.target)
         self._send_opening(flow, placement, now_s)
         self.counters['opened'] += 1
+        self._events.event(
+            'flow_opened',
+            flow=opening.head.caller,
+            route=record.name,
+            target=placement.target.name,
+            reason=placement.reason.value,
+            copy=opening.head.copy,
+            waited_ms=round(1000 * (now_s - opening.arrived_s)),
+            config=self._routes.version,
+        )
 
     def _on_copy(self, flow: OpenedFlow, packet: bytes, now_s: float) -> None:
         """Handle a repeated opening packet: its answer did not arrive."""
@@ -448,6 +471,7 @@
         flow.packet = b''
         if target is flow.target:
             waited_s = now_s - flow.sent_s
+            self.answer_times.observe(waited_s)
             difference_s = waited_s - self._usual_answer_s
             self._usual_answer_s += _ANSWER_WEIGHT * difference_s
         self._uncount(flow)
@@ -464,11 +488,39 @@
         elif flow.is_counted:
             self._uncount(flow)
             duration_s = now_s - flow.sent_s
+            self.flow_times.observe(duration_s)
+            if duration_s > flow.route.record.objective_s:
+                self._report_slow(flow, duration_s, now_s)
             difference_s = duration_s - self._usual_duration_s
             self._usual_duration_s += _DURATION_WEIGHT * difference_s
         if self.waiting:
             self.release(now_s)
 
+    def _report_slow(
+        self, flow: OpenedFlow, duration_s: float, now_s: float
+    ) -> None:
+        self.counters['slow'] += 1
+        self._events.event(
+            'flow_slow',
+            flow=flow.head.caller,
+            route=flow.route.record.name,
+            target=flow.target.name,
+            took_ms=round(1000 * duration_s),
+            objective_ms=round(1000 * flow.route.record.objective_s),
+            since_first_ms=round(1000 * (now_s - flow.first_s)),
+        )
+
+    def _report_unanswered(self, flow: OpenedFlow, now_s: float) -> None:
+        self.counters['never_answered'] += 1
+        self._events.event(
+            'opening_unanswered',
+            flow=flow.head.caller,
+            route=flow.route.record.name,
+            target=flow.target.name,
+            tried=len(flow.tried) + 1,
+            since_first_ms=round(1000 * (now_s - flow.first_s)),
+        )
+
     def take_ended_elsewhere(self) -> tuple[int, ...]:
         """Return hashes of flows that ended here but were opened elsewhere.
 
--- a/siskinproxy/entry/event_log.py
+++ b/siskinproxy/entry/event_log.py
@@ -39,6 +39,11 @@
         Returns the time of day in seconds.
     **context : object
         Pairs that are added to every line.
+
+    Attributes
+    ----------
+    left_out : int
+        Lines that were not written.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         self._context = context
         self._waiting: deque[str] = deque()
         self._dropped = 0
+        self.left_out = 0
         self._second = 0
         self._counts: Counter[str] = Counter()
         self._greenlet: gevent.Greenlet | None = None
@@ -112,6 +118,7 @@
             self._start_second(now_s)
         self._counts[name] += 1
         if self._counts[name] > LINES_PER_S:
+            self.left_out += 1
             return
         self._append(now_s, level, name, pairs)
 
@@ -134,6 +141,7 @@
         if len(self._waiting) >= MAX_WAITING:
             self._waiting.popleft()
             self._dropped += 1
+            self.left_out += 1
         moment = datetime.fromtimestamp(now_s, UTC)
         line = {
             'time': moment.strftime(TIME_FORMAT),
--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -31,6 +31,9 @@
     stale_s : float
         Age of an answer above which its source is avoided: a watch, a call
         that failed and the next one.
+    gather_s : float
+        Time between an answer of the store with changes and the next watch,
+        so that changes in quick succession cost one call.
     retry_s : float
         Delay after a failed or stale answer.
     return_s : float
@@ -40,6 +43,7 @@
     watch_s: float = 1.0
     peer_timeout_s: float = 0.4
     stale_s: float = 1.7
+    gather_s: float = 0.2
     retry_s: float = 0.1
     return_s: float = 2.5
 
@@ -164,6 +168,8 @@
             changes = self._ask_store()
             now_s = self._clock()
             self._take_over(source, changes, now_s, now_s)
+            if changes.items:
+                gevent.sleep(self._timing.gather_s)
             return
         answer = self._ask_instance(source)
         now_s = self._clock()
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -15,6 +15,7 @@
 from siskinproxy.entry.engine import EngineTiming, EntryEngine
 from siskinproxy.entry.event_log import BoundedLog
 from siskinproxy.entry.follower import ChangeFollower
+from siskinproxy.entry.http_server import HttpAnswer, SmallHttpServer
 from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
 from siskinproxy.entry.load_exchange import LoadExchange
 from siskinproxy.entry.load_view import (
@@ -22,11 +23,12 @@
     LoadView,
     report_receivers,
 )
+from siskinproxy.entry.metrics import EntryMetrics, Histogram
 from siskinproxy.entry.packet_socket import PacketSocket
 from siskinproxy.entry.packets import PacketCodec
 from siskinproxy.entry.peer_link import PeerServer
 from siskinproxy.entry.placing import Placer
-from siskinproxy.entry.readiness import Readiness, ReadinessServer
+from siskinproxy.entry.readiness import Readiness
 from siskinproxy.entry.records import Address
 from siskinproxy.entry.registration import Registration
 from siskinproxy.entry.responsiveness import Responsiveness
@@ -39,6 +41,9 @@
 
 __all__ = ('EntryProcess', 'parse_endpoint')
 
+#: Path of the metrics.
+METRICS_PATH: Final = '/metrics'
+METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 #: Time between two rounds of housekeeping, in seconds.
 HOUSEKEEPING_S: Final = 0.5
 #: Time after the signal to stop in which packets are still forwarded: the
@@ -87,39 +92,44 @@
         self._cfg = cfg
         self._store = store
         self._readiness = Readiness.STARTING
+        self.loop_lags = Histogram()
         self._stopped = Event()
         self._started_s = time.monotonic()
         self.log = BoundedLog(
             'entry', sys.stdout.fileno(), instance=cfg.instance.name
         )
-        self._directory = TargetDirectory(
+        self.directory = TargetDirectory(
             DirectoryTiming(flow_life_s=cfg.bounds.flow_life_s)
         )
-        self._routes = RouteTable()
-        self._instances = InstanceDirectory()
+        self.routes = RouteTable()
+        self.instances = InstanceDirectory()
         self._beliefs = Beliefs(
             dialect,
-            self._directory,
-            self._routes,
-            self._instances,
+            self.directory,
+            self.routes,
+            self.instances,
             self.log,
         )
-        self._responsiveness = Responsiveness()
+        self.responsiveness = Responsiveness()
         self._cold_limit = ColdLimit(
             cfg.instance.name,
             ColdBounds(cfg.bounds.cold_factor, cfg.bounds.cold_slack),
         )
-        self._loads = LoadView()
-        self._socket = PacketSocket(
+        self.loads = LoadView()
+        self.socket = PacketSocket(
             parse_endpoint(cfg.listeners.packet),
             self._on_packet,
             self._on_batch,
         )
         self.engine = self._build_engine(codec)
         self._timer = gevent.get_hub().loop.timer(0)
-        self._ready_server = ReadinessServer(
-            parse_endpoint(cfg.listeners.ready),
-            lambda: self._readiness,
+        self._ready_server = SmallHttpServer(
+            parse_endpoint(cfg.listeners.ready), self._answer_ready, self.log
+        )
+        self._metrics = EntryMetrics(self)
+        self._metrics_server = SmallHttpServer(
+            Address(cfg.instance.address, cfg.listeners.metrics_port),
+            self._answer_metrics,
             self.log,
         )
         record = InstanceRecord(
@@ -128,23 +138,23 @@
             cfg.instance.address,
             cfg.listeners.peer_port,
         )
-        self._follower = ChangeFollower(
+        self.follower = ChangeFollower(
             cfg.instance.name,
             store,
             dialect.prefix,
             self._beliefs,
-            SourceSelector(record, self._instances, random.Random()),
+            SourceSelector(record, self.instances, random.Random()),
             self.log,
         )
         self._peer_server = PeerServer(
-            record.address, self._follower.answer, self.log
+            record.address, self.follower.answer, self.log
         )
         self._registration = Registration(store, record, self.log)
         self._record = record
         self._receivers: tuple[InstanceRecord, ...] = ()
         self._exchange = LoadExchange(
             record.address,
-            self._loads,
+            self.loads,
             self._build_report,
             self._choose_receivers,
             self._needs_reports,
@@ -158,9 +168,10 @@
         """Open sockets and begin to learn; packets wait until that is done."""
         self.log.start()
         self.log.event('process_started', settings=self._path)
-        self._socket.open()
+        self.socket.open()
         self._ready_server.start()
-        self._follower.start()
+        self._metrics_server.start()
+        self.follower.start()
         self._peer_server.start()
         self._registration.start()
         self._exchange.start()
@@ -178,12 +189,13 @@
         gevent.killall(self._greenlets)
         self._exchange.close()
         self._registration.close()
-        self._follower.close()
+        self.follower.close()
         self._peer_server.close()
+        self._metrics_server.close()
         self._ready_server.close()
         self._timer.stop()
         self._timer.close()
-        self._socket.close()
+        self.socket.close()
         self._store.close()
         self.log.event('process_stopped', flows=len(self.engine.flows))
         self.log.close()
@@ -192,18 +204,18 @@
         self._placer = Placer(
             self._cfg.instance.zone,
             self._cold_limit,
-            self._responsiveness,
-            self._loads,
+            self.responsiveness,
+            self.loads,
             random.Random(),
         )
         zone_out_s = ZONE_OUT_SHARE * self._cfg.bounds.zone_out_ms / 1000
         return EntryEngine(
             codec,
-            self._directory,
-            self._routes,
+            self.directory,
+            self.routes,
             self._placer,
-            self._responsiveness,
-            self._socket,
+            self.responsiveness,
+            self.socket,
             self.log,
             EngineTiming(zone_out_s=zone_out_s),
         )
@@ -212,39 +224,42 @@
         while not self._beliefs.is_complete:
             gevent.sleep(0.01)
         self._update_fleet(time.monotonic())
-        self._socket.start()
+        self.socket.start()
         self._readiness = Readiness.READY
         self.log.event(
             'process_ready',
             after_ms=round(1000 * (time.monotonic() - self._started_s)),
-            config=self._routes.version,
-            routes=len(self._routes),
+            config=self.routes.version,
+            routes=len(self.routes),
         )
+        now_s = time.monotonic()
         while True:
+            due_s = now_s + HOUSEKEEPING_S
             gevent.sleep(HOUSEKEEPING_S)
             now_s = time.monotonic()
-            for target in self._directory.expire(now_s):
+            self.loop_lags.observe(max(now_s - due_s, 0))
+            for target in self.directory.expire(now_s):
                 self.log.event(
                     'target_changed', target=target.name, change='not_returned'
                 )
-            senders = self._instances.possible_senders(now_s)
+            senders = self.instances.possible_senders(now_s)
             self._cold_limit.set_instances(senders)
             self._update_fleet(now_s)
             self._run_timer()
 
     def _update_fleet(self, now_s: float) -> None:
-        registered = tuple(self._instances.registered())
+        registered = tuple(self.instances.registered())
         receivers = report_receivers(self._record, registered)
         self._receivers = receivers
-        self._loads.expire(now_s)
-        self._loads.set_fleet(self._record.zone, registered)
+        self.loads.expire(now_s)
+        self.loads.set_fleet(self._record.zone, registered)
 
     def _build_report(self) -> LoadReport:
         return LoadReport(
             self._record.name,
             self._record.zone,
             self._readiness is Readiness.STOPPING,
-            dict(self._loads.own_flows),
+            dict(self.loads.own_flows),
             self.engine.take_ended_elsewhere(),
         )
 
@@ -258,6 +273,15 @@
             if is_busy or each.zone == zone
         )
 
+    def _answer_ready(self, path: str) -> HttpAnswer:
+        is_ready = self._readiness is Readiness.READY
+        return HttpAnswer(200 if is_ready else 503)
+
+    def _answer_metrics(self, path: str) -> HttpAnswer:
+        if path != METRICS_PATH:
+            return HttpAnswer(404)
+        return HttpAnswer(200, self._metrics.render(), METRICS_TYPE)
+
     def _needs_reports(self) -> bool:
         now_s = time.monotonic()
         is_starting = now_s - self._started_s < STARTING_S
@@ -280,7 +304,7 @@
             self._timer.start(self._on_timer)
 
     def _on_timer(self) -> None:
-        self._socket.drain()
+        self.socket.drain()
         self._run_timer()
 
     def _on_stop_signal(self) -> None:
--- a/siskinproxy/entry/settings.py
+++ b/siskinproxy/entry/settings.py
@@ -63,6 +63,9 @@
             form=ENDPOINT_FORM,
         ),
     ]
+    metrics_port: Annotated[
+        int, describe_key('TCP port of the metrics', ge=1, le=_MAX_PORT)
+    ]
     peer_port: Annotated[
         int,
         describe_key(
--- /dev/null
+++ b/siskinproxy/entry/tests/test_metrics.py
@@ -0,0 +1,93 @@
+"""Metrics of the entry process."""
+
+import re
+from pathlib import Path
+
+import gevent
+import pytest
+from gevent import socket
+
+from siskinproxy.entry.http_server import HttpAnswer, SmallHttpServer
+from siskinproxy.entry.metrics import BOUNDS_S, METRICS, Histogram
+from siskinproxy.entry.metrics_text import render
+from siskinproxy.entry.records import Address
+from siskinproxy.entry.tests.fakes import Events
+
+PAGE = Path(__file__).parents[3] / 'docs' / 'OPERATIONS.md'
+
+
+def values():
+    durations = Histogram()
+    for duration_s in (0.004, 0.03, 0.04, 9.0):
+        durations.observe(duration_s)
+    found = {}
+    for metric in METRICS:
+        if metric.kind == 'histogram':
+            found[metric.name] = durations
+        else:
+            found[metric.name] = {'a': 2} if metric.labels else 7
+    return found
+
+
+def test_page_has_every_metric():
+    """Guards against a metric that is listed but not served."""
+    page = render(METRICS, values()).decode()
+    for metric in METRICS:
+        assert f'# TYPE {metric.name} {metric.kind}' in page
+    assert 'siskinproxy_entry_flows 7' in page
+    assert 'siskinproxy_entry_targets{state="a"} 2' in page
+
+
+def test_histograms_are_cumulative():
+    """Guards against buckets that count each duration once."""
+    page = render(METRICS, values()).decode()
+    name = 'siskinproxy_entry_flow_seconds'
+    found = dict(re.findall(rf'{name}_bucket\{{le="([^"]+)"\}} (\d+)', page))
+    assert found['0.005'] == '1'
+    assert found['0.05'] == '3'
+    assert found['+Inf'] == '4'
+    assert len(found) == len(BOUNDS_S) + 1
+    assert f'{name}_count 4' in page
+
+
+@pytest.mark.parametrize('metric', METRICS, ids=lambda metric: metric.name)
+def test_operators_page_lists_the_metric(metric):
+    """Guards against a metric that on-call engineers cannot look up."""
+    text = PAGE.read_text()
+    assert f'`{metric.name}`' in text
+    assert metric.doc in text
+
+
+def test_server_answers_by_path_on_one_connection():
+    """Guards against requests that are answered out of turn."""
+
+    def answer(path):
+        return HttpAnswer(200, path.encode())
+
+    server = SmallHttpServer(Address('127.0.0.1', 0), answer, Events())
+    server.start()
+    with gevent.Timeout(5):
+        conn = socket.create_connection(('127.0.0.1', server.port))
+        conn.sendall(b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n')
+        received = b''
+        while not received.endswith(b'/b'):
+            received += conn.recv(1000)
+    conn.close()
+    server.close()
+    assert received.count(b'HTTP/1.1 200 OK') == 2
+    assert received.index(b'\r\n\r\n/a') < received.index(b'\r\n\r\n/b')
+
+
+def test_server_survives_bytes_that_are_no_request():
+    """Guards against a scanner that ends the process."""
+    events = Events()
+    server = SmallHttpServer(
+        Address('127.0.0.1', 0), lambda path: HttpAnswer(200), events
+    )
+    server.start()
+    with gevent.Timeout(5):
+        conn = socket.create_connection(('127.0.0.1', server.port))
+        conn.sendall(b'\x00\x01\x02\r\n\r\n')
+        assert conn.recv(1000) == b''
+    server.close()
+    assert events.named('http_connection_closed')
--- a/siskinproxy/entry/waiting.py
+++ b/siskinproxy/entry/waiting.py
@@ -54,11 +54,13 @@
         The packet.
     route : ActiveRoute
         Its route.
+    arrived_s : float
+        When the packet arrived, in seconds.
     sent_s : float
         When the caller sent the first copy, at the latest, in seconds.
     """
 
-    __slots__ = ('head', 'packet', 'route', 'sent_s')
+    __slots__ = ('arrived_s', 'head', 'packet', 'route', 'sent_s')
 
     def __init__(
         self,
@@ -70,6 +72,7 @@
         self.head = head
         self.packet = packet
         self.route = route
+        self.arrived_s = now_s
         copies = min(head.copy, len(COPY_AFTER_S) - 1)
         self.sent_s = now_s - COPY_AFTER_S[copies]
 
--- a/siskinproxy/measure/independent_admission.py
+++ b/siskinproxy/measure/independent_admission.py
@@ -1,6 +1,7 @@
 """Admission policies in which each instance decides by itself (baselines)."""
 
 import random
+import sys
 from collections.abc import Callable
 from typing import Final
 
@@ -18,6 +19,7 @@
 from siskinproxy.instances.placement import ShardKey
 from siskinproxy.measure.world import WorldOutbox
 from siskinproxy.operators.configuration import Listener, Service, Target
+from siskinproxy.targets.target_state import Mode
 
 __all__ = ('IndependentEngine', 'LoadReports', 'least_reported', 'round_robin')
 
@@ -98,6 +100,10 @@
     def closed(self, key: bytes, *ignored: object) -> None:
         self._forget(key)
 
+    def usage(self, name: str, mode: Mode) -> tuple[int, int]:
+        """Return that no limit is in force; flows are not counted."""
+        return 0, sys.maxsize
+
     @property
     def has_waiting(self) -> bool:
         """Nothing is queued."""
