--- a/siskinproxy/entry/http_client.py
+++ b/siskinproxy/entry/http_client.py
@@ -43,12 +43,16 @@
     def __init__(self) -> None:
         self.parts: list[bytes] = []
         self.is_complete = False
+        self.may_keep = False
+        self.parser = httptools.HttpResponseParser(self)
 
     def on_body(self, part: bytes) -> None:
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
         self.is_complete = True
+        # Later, the parser waits for another message and says no.
+        self.may_keep = self.parser.should_keep_alive()
 
 
 class HttpClient:
@@ -164,14 +168,14 @@
 
 def _receive(conn: socket.socket) -> tuple[HttpResponse, bool]:
     receiver = _Receiver()
-    parser = httptools.HttpResponseParser(receiver)
+    parser = receiver.parser
     while not receiver.is_complete:
         received = conn.recv(_RECEIVE_BYTES)
         if not received:
             raise ConnectionResetError('connection closed before the response')
         parser.feed_data(received)
     response = HttpResponse(parser.get_status_code(), b''.join(receiver.parts))
-    return response, parser.should_keep_alive()
+    return response, receiver.may_keep
 
 
 def _failure(exc: Exception, *, writes: bool) -> StoreError:
--- /dev/null
+++ b/siskinproxy/entry/tests/test_cold_targets.py
@@ -0,0 +1,95 @@
+"""Cold targets: the bound holds for all instances together."""
+
+import pytest
+
+from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
+from siskinproxy.entry.directory import KnownTarget, TargetDirectory
+from siskinproxy.entry.tests.fakes import Instance, packet, target
+
+BOUNDS = ColdBounds(1.5, 5)
+
+
+@pytest.mark.parametrize('rate_per_s', [0, 1, 10, 40])
+@pytest.mark.parametrize('count', [1, 3, 7, 10, 86])
+def test_all_instances_together_keep_the_bound(count, rate_per_s):
+    """Guards against a cold target that each instance finds free."""
+    names = tuple(f'i-{number}' for number in range(count))
+    known = KnownTarget(target(1, warmup_left_s=2))
+    total = 0
+    for name in names:
+        limit = ColdLimit(name, BOUNDS)
+        limit.set_instances(names)
+        sent = 0
+        for step in range(100):
+            if limit.allows(known, rate_per_s, step / 100):
+                limit.note_sent(known, step / 100)
+                sent += 1
+        total += sent
+    assert total == int(rate_per_s * 1.5 + 5)
+
+
+def test_the_bound_holds_in_every_second():
+    """Guards against two bursts on both sides of a full second."""
+    limit = ColdLimit('i-1', BOUNDS)
+    known = KnownTarget(target(1, warmup_left_s=2))
+    sent = []
+    for step in range(400):
+        now_s = step / 100
+        if limit.allows(known, 10, now_s):
+            limit.note_sent(known, now_s)
+            sent.append(now_s)
+    for start in sent:
+        inside = [now_s for now_s in sent if start <= now_s < start + 1]
+        assert len(inside) <= 20
+
+
+def test_cold_targets_are_spared_while_others_are_warm():
+    """Guards against load on a target that is slow after its start."""
+    records = [target(1), target(2, warmup_left_s=2)]
+    instance = Instance(targets=records)
+    opened = {instance.open(port, 0).name for port in range(1000, 1005)}
+    assert opened == {'t-1'}
+
+
+def test_openings_wait_for_the_limit_of_cold_targets():
+    """Guards against refusing what a cold target can serve a little later."""
+    instance = Instance(targets=[target(1, warmup_left_s=30)])
+    for number in range(40):
+        instance.engine.on_packet(packet(1000 + number), 0)
+    opened = len(instance.outbox.take())
+    assert opened <= 20
+    assert not instance.events.named('flow_refused')
+    assert len(instance.engine.waiting) == 40 - opened
+
+
+@pytest.mark.parametrize(
+    ('left_s', 'cold_at_s', 'is_cold'),
+    [(2, 1, True), (2, 2.05, True), (2, 2.2, False), (0, 0, False)],
+)
+def test_targets_are_cold_for_the_announced_time(left_s, cold_at_s, is_cold):
+    """Guards against a limit that ends before the target is warm."""
+    directory = TargetDirectory()
+    directory.announce(target(1, warmup_left_s=left_s), 0)
+    known = next(directory.targets())
+    assert known.is_cold(cold_at_s) is is_cold
+
+
+def test_targets_of_a_returning_zone_count_as_cold_at_first():
+    """Guards against full load on a zone that comes back cold."""
+    directory = TargetDirectory()
+    directory.announce(target(1, zone='a'), 0)
+    directory.take_zone_out('a', 1)
+    assert not directory.of_service('desk')
+    directory.return_zone('a', 10)
+    (known,) = directory.of_service('desk')
+    assert known.is_cold(10.1)
+    assert not known.is_cold(10.1 + directory.timing.turn_cold_s)
+
+
+def test_a_target_that_starts_again_under_its_name_is_cold():
+    """Guards against a restart that looks like a heartbeat."""
+    directory = TargetDirectory()
+    directory.announce(target(1), 0)
+    again = target(1, warmup_left_s=2, started_unix_ms=9, revision=2)
+    assert directory.announce(again, 5).value == 'restarted'
+    assert next(directory.targets()).is_cold(6)
