--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -143,7 +143,9 @@
             store,
             dialect.prefix,
             self._beliefs,
-            SourceSelector(record, self.instances, random.Random()),
+            SourceSelector(
+                record, self.instances, random.Random(), _seeds(cfg)
+            ),
             self.log,
         )
         self._peer_server = PeerServer(
@@ -322,3 +324,16 @@
             return
         is_same = found == self._cfg
         self.log.event('settings_reloaded', changed=not is_same)
+
+
+def _seeds(cfg: EntrySettings) -> tuple[InstanceRecord, ...]:
+    """Return the instances of the settings, at their port for instances."""
+    return tuple(
+        InstanceRecord(
+            name=f'seed-{seed}',
+            zone='',
+            host=parse_endpoint(seed).host,
+            port=cfg.listeners.peer_port,
+        )
+        for seed in cfg.store.seeds
+    )
--- a/siskinproxy/entry/settings.py
+++ b/siskinproxy/entry/settings.py
@@ -56,13 +56,6 @@
         str,
         describe_key('TCP address of the readiness check', form=ENDPOINT_FORM),
     ]
-    control: Annotated[
-        str,
-        describe_key(
-            'TCP address for other instances that have this one as a seed',
-            form=ENDPOINT_FORM,
-        ),
-    ]
     metrics_port: Annotated[
         int, describe_key('TCP port of the metrics', ge=1, le=_MAX_PORT)
     ]
--- a/siskinproxy/entry/sources.py
+++ b/siskinproxy/entry/sources.py
@@ -68,6 +68,9 @@
         Registered instances.
     rng : random.Random
         Source of the choice among instances of other zones.
+    seeds : sequence of InstanceRecord
+        Instances of the settings, which are asked as long as no others are
+        known: one that starts while the store turns it away.
     limits : SourceLimits
         Limits.
     """
@@ -77,11 +80,15 @@
         own: InstanceRecord,
         instances: InstanceDirectory,
         rng: random.Random,
+        seeds: Sequence[InstanceRecord] = (),
         limits: SourceLimits | None = None,
     ) -> None:
         self._own = own
         self._instances = instances
         self._rng = rng
+        self._seeds = tuple(
+            seed for seed in seeds if seed.address != own.address
+        )
         self._limits = limits or SourceLimits()
         self._avoided: dict[str, float] = {}
 
@@ -105,9 +112,10 @@
                 return Source(record)
         if not self._is_avoided(STORE.name, now_s):
             return STORE
+        known = tuple(self._instances.registered()) or self._seeds
         others = [
             other
-            for other in self._instances.registered()
+            for other in known
             if other.name != self._own.name
             and not self._is_avoided(other.name, now_s)
         ]
--- a/siskinproxy/entry/tests/test_sources.py
+++ b/siskinproxy/entry/tests/test_sources.py
@@ -88,3 +88,16 @@
     directory.remove('i-2', 10)
     assert set(directory.possible_senders(20)) == {'i-1', 'i-2'}
     assert set(directory.possible_senders(41)) == {'i-1'}
+
+
+def test_seeds_are_asked_while_no_other_instance_is_known():
+    """Guards against a start that needs the store to be there."""
+    seeds = [InstanceRecord('seed', '', '10.0.0.9', 7720), record('own')]
+    selector = SourceSelector(
+        record('i-1'), InstanceDirectory(), random.Random(1), seeds
+    )
+    assert selector.choose(0) == STORE
+    selector.note_failed(STORE, 0)
+    assert selector.choose(0.1) == Source(seeds[0])
+    selector.note_failed(Source(seeds[0]), 0.2)
+    assert selector.choose(0.3) == STORE
