--- a/siskinproxy/entry/load_exchange.py
+++ b/siskinproxy/entry/load_exchange.py
@@ -19,6 +19,10 @@
 REPORT_S: Final = 0.25
 _MAX_DATAGRAM_BYTES: Final = 65535
 _BATCH: Final = 64
+_UDP_OVERHEAD_BYTES: Final = 28
+#: Bytes of reports that an instance sends in a second: most of the 23 KB/s
+#: that a node may spend on control.
+REPORT_BYTES_PER_S: Final = 16_000
 
 
 class LoadExchange:
@@ -95,17 +99,22 @@
             self._socket = None
 
     def _run(self) -> None:
+        paced_s: float = 0
         while True:
-            gevent.sleep(BUSY_REPORT_S if self._is_busy() else REPORT_S)
-            self._send(msgspec.msgpack.encode(self._build()))
+            usual_s = BUSY_REPORT_S if self._is_busy() else REPORT_S
+            gevent.sleep(max(usual_s, paced_s))
+            sent_bytes = self._send(msgspec.msgpack.encode(self._build()))
+            paced_s = sent_bytes / REPORT_BYTES_PER_S
 
-    def _send(self, datagram: bytes) -> None:
+    def _send(self, datagram: bytes) -> int:
         send = self._socket._sock.sendto
-        for address in self._receivers():
+        receivers = self._receivers()
+        for address in receivers:
             try:
                 send(datagram, address)
             except OSError:
                 self.unsent += 1
+        return len(receivers) * (len(datagram) + _UDP_OVERHEAD_BYTES)
 
     def _on_readable(self) -> None:
         now_s = self._clock()
--- /dev/null
+++ b/siskinproxy/measure/tests/test_entry_costs.py
@@ -0,0 +1,37 @@
+"""The measurement of an entry process runs, and costs do not explode."""
+
+import pytest
+
+from siskinproxy.measure.entry_costs import (
+    measure_beliefs,
+    measure_engine,
+    measure_reports,
+)
+
+
+@pytest.mark.parametrize(
+    ('measured', 'names'),
+    [
+        (
+            lambda: measure_engine(4),
+            ['flow', 'opening', 'established_packet', 'closing_packet'],
+        ),
+        (lambda: measure_reports(10), ['report', 'report_heard']),
+        (lambda: measure_beliefs(50), ['target_known', 'route_applied']),
+    ],
+    ids=['engine', 'reports', 'beliefs'],
+)
+def test_every_cost_is_measured(measured, names):
+    """Guards against a page of figures that the command cannot produce."""
+    costs = list(measured())
+    assert [cost.what for cost in costs] == names
+    assert all(cost.microseconds > 0 or cost.bytes > 0 for cost in costs)
+
+
+def test_memory_of_a_node_at_the_target_size():
+    """Guards against flows that exceed 128 MB at 13,500 flows a node."""
+    costs = {cost.what: cost for cost in measure_engine(16)}
+    known = {cost.what: cost for cost in measure_beliefs(2000)}
+    flows_bytes = 13_500 * costs['flow'].bytes
+    targets_bytes = 2_000 * known['target_known'].bytes
+    assert flows_bytes + targets_bytes < 128e6 / 2
