--- a/siskinproxy/entry/load_view.py
+++ b/siskinproxy/entry/load_view.py
@@ -16,6 +16,9 @@
 
 #: Age from which a report is not used, in seconds: a few intervals.
 REPORT_LIFE_S: Final = 0.8
+#: Time after its last report in which an instance may be restarting, in
+#: seconds; one that is silent for longer is gone.
+RESTART_S: Final = 4.0
 #: Instances that get the reports of one instance. A larger fleet is sampled:
 #: the counts that are heard stand for those that are not.
 MAX_RECEIVERS: Final = 12
@@ -95,6 +98,7 @@
         self._reports: dict[str, tuple[float, LoadReport]] = {}
         self._others: dict[int, int] = {}
         self._scale: float = 1
+        self._lost: dict[str, tuple[float, str]] = {}
 
     @property
     def own_flows(self) -> Mapping[int, int]:
@@ -122,6 +126,7 @@
     def hear(self, report: LoadReport, now_s: float) -> None:
         """Take over the report of another instance."""
         known = self._reports.get(report.instance)
+        self._lost.pop(report.instance, None)
         self._reports[report.instance] = (now_s, report)
         if known is not None:
             self._subtract(known[1])
@@ -133,6 +138,7 @@
         for name, (heard_s, report) in tuple(self._reports.items()):
             if now_s - heard_s > REPORT_LIFE_S:
                 del self._reports[name]
+                self._lost[name] = (now_s, report.zone)
                 self._subtract(report)
 
     def set_fleet(self, zone: str, instances: Sequence[InstanceRecord]) -> None:
@@ -152,13 +158,33 @@
         members = sum(each.zone == zone for each in instances)
         self._scale = max((members - 1) / heard, 1)
 
-    def stopping(self, zone: str) -> tuple[str, ...]:
-        """Return the instances of a zone that said that they are stopping."""
-        return tuple(
+    def absent(self, zone: str, now_s: float) -> tuple[str, ...]:
+        """Return the instances of a zone that are stopping or restarting.
+
+        Parameters
+        ----------
+        zone : str
+            Availability zone.
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        tuple of str
+            Those that report that they are stopping, and those that were
+            heard a few seconds ago and are silent now.
+        """
+        stopping = [
             name
             for name, (_, report) in self._reports.items()
             if report.is_stopping and report.zone == zone
-        )
+        ]
+        silent = [
+            name
+            for name, (lost_s, lost_zone) in self._lost.items()
+            if lost_zone == zone and now_s - lost_s < RESTART_S
+        ]
+        return (*stopping, *silent)
 
     def _add_own(self, token: int, change: int) -> None:
         count = self._own.get(token, 0) + change
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -35,6 +35,7 @@
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.settings import EntrySettings
 from siskinproxy.entry.sources import SourceSelector
+from siskinproxy.entry.stopping import FORWARD_AFTER_STOP_S, may_leave
 from siskinproxy.entry.store import PrefixStore
 from siskinproxy.errors import SettingsError
 from siskinproxy.settings_file import read_settings
@@ -46,9 +47,8 @@
 METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 #: Time between two rounds of housekeeping, in seconds.
 HOUSEKEEPING_S: Final = 0.5
-#: Time after the signal to stop in which packets are still forwarded: the
-#: fabric asks twice a second and stops delivering after two refusals.
-FORWARD_AFTER_STOP_S: Final = 2.5
+#: Time between two looks at whether a stopping instance may leave, in seconds.
+STOP_CHECK_S: Final = 0.1
 #: Time after the start in which callers may still repeat what was lost while
 #: the process was down, in seconds.
 STARTING_S: Final = 2.0
@@ -165,6 +165,7 @@
         )
         self._greenlets: list[gevent.Greenlet] = []
         self._timer_due_s: float | None = None
+        self._is_told_to_stop = False
 
     def start(self) -> None:
         """Open sockets and begin to learn; packets wait until that is done."""
@@ -310,11 +311,33 @@
         self._run_timer()
 
     def _on_stop_signal(self) -> None:
-        if self._readiness is Readiness.STOPPING:
+        if self._is_told_to_stop:
             return
+        self._is_told_to_stop = True
+        self._greenlets.append(gevent.spawn(self._stop))
+
+    def _stop(self) -> None:
+        """Leave the fabric when the zone allows it, then end."""
+        told_s = time.monotonic()
+        absent = self.loads.absent(self._record.zone, told_s)
+        self.log.event(
+            'process_told_to_stop',
+            flows=len(self.engine.flows),
+            absent=','.join(absent),
+        )
+        while not may_leave(
+            absent, time.monotonic() - told_s, self._cfg.bounds.stop_s
+        ):
+            gevent.sleep(STOP_CHECK_S)
+            absent = self.loads.absent(self._record.zone, time.monotonic())
         self._readiness = Readiness.STOPPING
-        self.log.event('process_stopping', flows=len(self.engine.flows))
-        gevent.spawn_later(FORWARD_AFTER_STOP_S, self._stopped.set)
+        self.log.event(
+            'process_stopping',
+            waited_ms=round(1000 * (time.monotonic() - told_s)),
+            absent=','.join(absent),
+        )
+        gevent.sleep(FORWARD_AFTER_STOP_S)
+        self._stopped.set()
 
     def _on_reload_signal(self) -> None:
         try:
