Add a soak of real entry processes

Change: siskinproxy.soak runs three entry processes under stand-ins of store, fabric, targets and callers that write the platform's names by the adapter's types.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 SEED ?= 1
+SOAK_SECONDS ?= 20
+SOAK_SEEDS ?= 1
 PROTOS := $(wildcard siskinproxy/*/proto/*.proto)
 
-.PHONY: setup test lint format unit demo measure bench capacity proto clean
+.PHONY: setup test lint format unit demo measure bench capacity soak proto clean
 
 setup: $(VENV)/.installed
 
@@ -37,6 +39,9 @@
 bench: setup
 	$(BIN)/python -m siskinproxy.measure.bench
 
+soak: setup
+	$(BIN)/python -m siskinproxy.soak.run --seed $(SEED) --seconds $(SOAK_SECONDS) --count $(SOAK_SEEDS)
+
 capacity: setup
 	$(BIN)/python -m siskinproxy.measure.capacity
 
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -16,7 +16,29 @@
     StoreUnavailableError,
 )
 
-__all__ = ('HttpStore',)
+__all__ = (
+    'KEEP_PATH',
+    'LEASE_END_PATH',
+    'LEASE_PATH',
+    'RANGE_PATH',
+    'TXN_PATH',
+    'WATCH_PATH',
+    'EventsBody',
+    'HttpStore',
+    'ItemBody',
+    'LeaseBody',
+    'RangeBody',
+    'TxnBody',
+    'WriteBody',
+)
+
+RANGE_PATH: Final = '/siskinproxy/kv-range'
+WATCH_PATH: Final = '/siskinproxy/kv-watch'
+TXN_PATH: Final = '/siskinproxy/kv-txn'
+LEASE_PATH: Final = '/siskinproxy/kv-lease'
+KEEP_PATH: Final = '/siskinproxy/kv-keep/'
+LEASE_END_PATH: Final = '/siskinproxy/kv-lease-end/'
+
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -27,33 +49,57 @@
 _MAX_WAIT_MS: Final = 30_000
 
 
-class _Item(msgspec.Struct):
+class ItemBody(msgspec.Struct, omit_defaults=True):
+    """An item, or its removal."""
+
     key: str
     rev: int
     value: bytes = b''  # base64 text on the wire
     removed: bool = False
 
 
-class _Range(msgspec.Struct):
-    items: tuple[_Item, ...]
+class RangeBody(msgspec.Struct):
+    """A page of items."""
+
+    items: tuple[ItemBody, ...]
     has_more: bool
     current_rev: int
 
 
-class _Events(msgspec.Struct):
-    events: tuple[_Item, ...]
+class EventsBody(msgspec.Struct):
+    """Answer to a watch."""
+
+    events: tuple[ItemBody, ...]
     current_rev: int
 
 
-class _Lease(msgspec.Struct):
+class LeaseBody(msgspec.Struct):
+    """Answer to the grant of a lease."""
+
     lease: int
 
 
+class WriteBody(msgspec.Struct):
+    """One write of a transaction."""
+
+    key: str
+    value: bytes  # base64 text on the wire
+    lease: int = 0
+
+
+class TxnBody(msgspec.Struct):
+    """A transaction; the product writes without conditions only."""
+
+    writes: tuple[WriteBody, ...] = ()
+    precondition: tuple[dict[str, int | str], ...] = ()
+    remove: tuple[str, ...] = ()
+
+
 _Answer = TypeVar('_Answer')
 
-_RANGE: Final = msgspec.json.Decoder(_Range)
-_EVENTS: Final = msgspec.json.Decoder(_Events)
-_LEASE: Final = msgspec.json.Decoder(_Lease)
+_RANGE: Final = msgspec.json.Decoder(RangeBody)
+_EVENTS: Final = msgspec.json.Decoder(EventsBody)
+_LEASE: Final = msgspec.json.Decoder(LeaseBody)
 
 
 class HttpStore:
@@ -77,7 +123,7 @@
         Pages are not a snapshot, so the result is complete up to the revision
         of the first page; later changes come with the next watch.
         """
-        path = f'/siskinproxy/kv-range?prefix={prefix}'
+        path = f'{RANGE_PATH}?prefix={prefix}'
         page = self._page(path)
         items = list(page.items)
         revision = page.current_rev
@@ -93,7 +139,7 @@
         """Wait for changes of a prefix after a revision."""
         wait_ms = min(int(timeout_s * 1000), _MAX_WAIT_MS)
         path = (
-            f'/siskinproxy/kv-watch?prefix={prefix}&after={after_revision}'
+            f'{WATCH_PATH}?prefix={prefix}&after={after_revision}'
             f'&wait_ms={wait_ms}'
         )
         answer = self._http.call('GET', path, longer_s=timeout_s)
@@ -107,15 +153,13 @@
     def grant_lease(self, ttl_s: float) -> int:
         """Return the id of a new lease."""
         body = msgspec.json.encode({'ttl_ms': int(ttl_s * 1000)})
-        answer = self._http.call(
-            'POST', '/siskinproxy/kv-lease', body, writes=True
-        )
+        answer = self._http.call('POST', LEASE_PATH, body, writes=True)
         _check(answer)
         return _parse(_LEASE, answer).lease
 
     def keep_alive(self, lease_id: int) -> None:
         """Renew a lease."""
-        path = f'/siskinproxy/kv-keep/{lease_id}'
+        path = f'{KEEP_PATH}{lease_id}'
         answer = self._http.call('POST', path)
         if answer.status == _NOT_FOUND:
             raise LeaseLostError(f'lease={lease_id}')
@@ -123,11 +167,10 @@
 
     def put(self, key: str, value: bytes, lease_id: int) -> None:
         """Write a key, which is removed when the lease ends."""
-        write = {'key': key, 'value': value, 'lease': lease_id}
-        change = {'precondition': [], 'writes': [write], 'remove': []}
+        change = TxnBody(writes=(WriteBody(key, value, lease_id),))
         answer = self._http.call(
             'POST',
-            '/siskinproxy/kv-txn',
+            TXN_PATH,
             msgspec.json.encode(change),
             writes=True,
         )
@@ -137,7 +180,7 @@
 
     def end_lease(self, lease_id: int) -> None:
         """End a lease and remove its keys."""
-        path = f'/siskinproxy/kv-lease-end/{lease_id}'
+        path = f'{LEASE_END_PATH}{lease_id}'
         answer = self._http.call('DELETE', path, writes=True)
         if answer.status != _NOT_FOUND:
             _check(answer)
@@ -146,7 +189,7 @@
         """Close all connections."""
         self._http.close()
 
-    def _page(self, path: str) -> _Range:
+    def _page(self, path: str) -> RangeBody:
         answer = self._http.call('GET', path)
         _check(answer)
         return _parse(_RANGE, answer)
@@ -168,7 +211,7 @@
         raise StoreDataError('response', str(exc)) from exc
 
 
-def _decode(item: _Item) -> StoredItem | ItemRemoved:
+def _decode(item: ItemBody) -> StoredItem | ItemRemoved:
     if item.removed:
         return ItemRemoved(item.key, item.rev)
     return StoredItem(item.key, item.value, item.rev)
--- a/siskinproxy/platform/packets.py
+++ b/siskinproxy/platform/packets.py
@@ -10,11 +10,11 @@
 from siskinproxy.entry import packets
 from siskinproxy.entry.records import Address
 
-__all__ = ('HEAD_BYTES', 'PlatformCodec')
+__all__ = ('FRAME', 'HEAD', 'HEAD_BYTES', 'PlatformCodec')
 
 #: len, dst, sport, dport, src, flags, seq, ack, sum, echo.
-_HEAD: Final = struct.Struct('>H4s2s2s4sBIIII')
-HEAD_BYTES: Final = _HEAD.size
+HEAD: Final = struct.Struct('>H4s2s2s4sBIIII')
+HEAD_BYTES: Final = HEAD.size
 # Positions of the fields; the sum is keyed, so it is passed on unread.
 _LEN: Final = 0
 _DST: Final = 1
@@ -27,7 +27,7 @@
 _ECHO: Final = 9
 _TOKEN_OFFSET: Final = 27
 _TOKEN: Final = struct.Struct('>I')
-_FRAME: Final = struct.Struct('>Q')
+FRAME: Final = struct.Struct('>Q')
 
 _SYN: Final = 64
 _ACK: Final = 2
@@ -59,7 +59,7 @@
         """Return the header, None if the datagram holds no whole packet."""
         if len(packet) < HEAD_BYTES:
             return None
-        fields = _HEAD.unpack_from(packet)
+        fields = HEAD.unpack_from(packet)
         if len(packet) != HEAD_BYTES + fields[_LEN]:
             return None
         virtual = fields[_DST] + fields[_DPORT]
@@ -82,7 +82,7 @@
         """
         return b''.join(
             (
-                _FRAME.pack(target_id),
+                FRAME.pack(target_id),
                 packet[:_TOKEN_OFFSET],
                 _TOKEN.pack(token),
                 packet[HEAD_BYTES:],
@@ -96,7 +96,7 @@
         that they acknowledged; any number ends a flow that is not open.
         """
         sequence = 0 if head.flags & packets.SYN else head.copy
-        return _HEAD.pack(
+        return HEAD.pack(
             0,
             head.flow[:4],
             head.flow[10:12],
--- a/siskinproxy/platform/records.py
+++ b/siskinproxy/platform/records.py
@@ -20,14 +20,25 @@
 )
 from siskinproxy.entry.store import StoredItem
 
-__all__ = ('WATCHED_PREFIX', 'decode_item')
+__all__ = (
+    'CONFIGURATION_KEY',
+    'TARGETS_PREFIX',
+    'WATCHED_PREFIX',
+    'ConfigurationEntry',
+    'LimitsEntry',
+    'RouteEntry',
+    'ServiceEntry',
+    'ShareEntry',
+    'TargetEntry',
+    'decode_item',
+)
 
 #: Start of all keys that matter: those of operators, of targets and the
 #: product's own. One watch on all of them costs one call instead of three.
 WATCHED_PREFIX: Final = ''
 
-_TARGETS: Final = 'servers/'
-_CONFIGURATION: Final = 'op/config'
+TARGETS_PREFIX: Final = 'servers/'
+CONFIGURATION_KEY: Final = 'op/config'
 _EVACUATION: Final = 'op/evacuate/'
 
 #: The id as text is a prefix and the hex digits of the 64-bit id.
@@ -36,7 +47,7 @@
 _MAX_PORT: Final = 65535
 
 
-class _TargetEntry(msgspec.Struct):
+class TargetEntry(msgspec.Struct):
     """Value of a key of a target."""
 
     service: str
@@ -50,12 +61,16 @@
     born: int = 0
 
 
-class _ShareEntry(msgspec.Struct):
+class ShareEntry(msgspec.Struct):
+    """Share of a route."""
+
     service: str
     weight: float
 
 
-class _RouteEntry(msgspec.Struct):
+class RouteEntry(msgspec.Struct):
+    """Route of a configuration."""
+
     name: str
     host: str  # an address, not a name
     prefix: str  # a port between slashes, not a path
@@ -64,10 +79,12 @@
     aim_ms: float = 0
     priority: int = 0
     service: str = ''
-    split: tuple[_ShareEntry, ...] = ()
+    split: tuple[ShareEntry, ...] = ()
 
 
-class _ServiceEntry(msgspec.Struct):
+class ServiceEntry(msgspec.Struct):
+    """Service of a configuration."""
+
     name: str
     health_path: str = '/'
     max_conns: int = 0
@@ -75,19 +92,23 @@
     warmup_per_s: float = 0
 
 
-class _LimitsEntry(msgspec.Struct):
+class LimitsEntry(msgspec.Struct):
+    """Limits of a configuration."""
+
     idle_timeout_ms: float = 0
 
 
-class _ConfigurationEntry(msgspec.Struct):
+class ConfigurationEntry(msgspec.Struct):
+    """Value of the operators' key."""
+
     version: int
-    routes: tuple[_RouteEntry, ...]
-    services: tuple[_ServiceEntry, ...]
-    limits: _LimitsEntry = msgspec.field(default_factory=_LimitsEntry)
+    routes: tuple[RouteEntry, ...]
+    services: tuple[ServiceEntry, ...]
+    limits: LimitsEntry = msgspec.field(default_factory=LimitsEntry)
 
 
-_TARGET_DECODER: Final = msgspec.json.Decoder(_TargetEntry)
-_CONFIGURATION_DECODER: Final = msgspec.json.Decoder(_ConfigurationEntry)
+_TARGET_DECODER: Final = msgspec.json.Decoder(TargetEntry)
+_CONFIGURATION_DECODER: Final = msgspec.json.Decoder(ConfigurationEntry)
 
 
 def decode_item(item: StoredItem) -> Statement:
@@ -105,9 +126,9 @@
         operators exist.
     """
     try:
-        if item.key.startswith(_TARGETS):
+        if item.key.startswith(TARGETS_PREFIX):
             return _target(item)
-        if item.key == _CONFIGURATION:
+        if item.key == CONFIGURATION_KEY:
             return _configuration(item.value)
     except (msgspec.MsgspecError, ValueError, OSError) as exc:
         return UnusableRecord(f'{type(exc).__name__}: {exc}')
@@ -117,7 +138,7 @@
 
 
 def _target(item: StoredItem) -> Statement:
-    name = item.key.removeprefix(_TARGETS)
+    name = item.key.removeprefix(TARGETS_PREFIX)
     found = _TARGET_ID.fullmatch(name)
     if found is None:
         return UnusableRecord('no id in the key')
@@ -170,7 +191,7 @@
     )
 
 
-def _route(entry: _RouteEntry) -> RouteRecord:
+def _route(entry: RouteEntry) -> RouteRecord:
     port = int(entry.prefix.strip('/'))
     shares = tuple(
         ServiceShare(each.service, each.weight) for each in entry.split
--- /dev/null
+++ b/siskinproxy/soak/store.py
@@ -0,0 +1,179 @@
+"""Stand-in for the platform's store, with faults."""
+
+from collections.abc import Callable
+from typing import Final
+from urllib.parse import parse_qs, urlsplit
+
+import gevent
+import httptools
+import msgspec
+from gevent import socket
+
+from siskinproxy.entry.records import Address
+from siskinproxy.platform.http_store import (
+    KEEP_PATH,
+    LEASE_PATH,
+    RANGE_PATH,
+    TXN_PATH,
+    WATCH_PATH,
+    EventsBody,
+    ItemBody,
+    LeaseBody,
+    RangeBody,
+    TxnBody,
+)
+
+__all__ = ('SoakStore',)
+
+_POLL_S: Final = 0.01
+_RECEIVE_BYTES: Final = 65536
+_Answer = tuple[int, object]
+
+
+class _Request:
+    """Callbacks of the request parser."""
+
+    def __init__(self) -> None:
+        self.done: list[tuple[str, bytes]] = []
+        self._url = b''
+        self._body = b''
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self.done.append((self._url.decode(), self._body))
+        self._url = b''
+        self._body = b''
+
+
+class SoakStore:
+    """Key-value store in memory that answers HTTP calls.
+
+    Attributes
+    ----------
+    mode : {'up', 'refuse', 'silent'}
+        How calls are answered.
+    """
+
+    def __init__(self) -> None:
+        self.mode = 'up'
+        self.items: dict[str, ItemBody] = {}
+        self.events: list[ItemBody] = []
+        self.revision = 1
+        self.history_from = 0
+        self._leases: dict[int, float] = {}
+        self._lease_of: dict[str, int] = {}
+        self._listener: socket.socket | None = None
+        self._greenlets: list[gevent.Greenlet] = []
+
+    @property
+    def address(self) -> Address:
+        """Address that the store listens on."""
+        return Address(*self._listener.getsockname())
+
+    def start(self) -> None:
+        """Listen and answer in greenlets."""
+        self._listener = socket.socket()
+        self._listener.bind(('127.0.0.1', 0))
+        self._listener.listen(64)
+        self._greenlets.append(gevent.spawn(self._accept))
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        gevent.killall(self._greenlets)
+        self._listener.close()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key."""
+        self.revision += 1
+        self.items[key] = ItemBody(key, self.revision, value)
+        self.events.append(self.items[key])
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.events.append(ItemBody(key, self.revision, removed=True))
+
+    def forget_history(self) -> None:
+        """Answer watches from earlier revisions with a lost history."""
+        self.history_from = self.revision
+        self.events.clear()
+
+    def _accept(self) -> None:
+        while True:
+            conn, _ = self._listener.accept()
+            self._greenlets.append(gevent.spawn(self._serve, conn))
+
+    def _serve(self, conn: socket.socket) -> None:
+        request = _Request()
+        parser = httptools.HttpRequestParser(request)
+        with conn:
+            try:
+                while received := conn.recv(_RECEIVE_BYTES):
+                    parser.feed_data(received)
+                    while request.done:
+                        self._respond(conn, *request.done.pop(0))
+            except OSError:
+                # Processes of the soak are killed with open connections.
+                return
+
+    def _respond(self, conn: socket.socket, url: str, body: bytes) -> None:
+        while self.mode == 'silent':
+            gevent.sleep(_POLL_S)
+        status, answer = (503, {})
+        if self.mode == 'up':
+            status, answer = self._answer(url, body)
+        data = msgspec.json.encode(answer)
+        head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n'
+        conn.sendall(head.encode() + data)
+
+    def _answer(self, url: str, body: bytes) -> _Answer:
+        parts = urlsplit(url)
+        query = {
+            key: values[0] for key, values in parse_qs(parts.query).items()
+        }
+        calls: dict[str, Callable[[], _Answer]] = {
+            RANGE_PATH: lambda: self._range(query.get('prefix', '')),
+            WATCH_PATH: lambda: self._watch(query),
+            LEASE_PATH: self._grant,
+            TXN_PATH: lambda: self._write(body),
+        }
+        if parts.path in calls:
+            return calls[parts.path]()
+        if parts.path.startswith(KEEP_PATH):
+            return 200, {}
+        return 404, {}
+
+    def _range(self, prefix: str) -> _Answer:
+        found = tuple(
+            item for key, item in self.items.items() if key.startswith(prefix)
+        )
+        return 200, RangeBody(found, has_more=False, current_rev=self.revision)
+
+    def _watch(self, query: dict[str, str]) -> _Answer:
+        after = int(query['after'])
+        waited_s: float = 0
+        while waited_s < int(query['wait_ms']) / 1000:
+            if after < self.history_from:
+                return 410, {}
+            found = tuple(each for each in self.events if each.rev > after)
+            if found:
+                return 200, EventsBody(found, self.revision)
+            gevent.sleep(_POLL_S)
+            waited_s += _POLL_S
+        return 200, EventsBody((), self.revision)
+
+    def _grant(self) -> _Answer:
+        lease_id = len(self._leases) + 1
+        self._leases[lease_id] = 0
+        return 200, LeaseBody(lease_id)
+
+    def _write(self, body: bytes) -> _Answer:
+        for write in msgspec.json.decode(body, type=TxnBody).writes:
+            self.put(write.key, write.value)
+        return 200, {}
