Apply bounds of reloaded settings and name what needs a restart

Cause: SIGHUP was logged, but the settings that were read had no effect.

Change: the bounds are replaced in force; sections that take a restart are named in settings_reloaded; a wrong file keeps the earlier settings.

--- a/siskinproxy/entry/cold_limit.py
+++ b/siskinproxy/entry/cold_limit.py
@@ -46,11 +46,16 @@
         Name of this instance.
     bounds : ColdBounds
         Bound of the platform.
+
+    Attributes
+    ----------
+    bounds : ColdBounds
+        Bound; may be replaced.
     """
 
     def __init__(self, instance: str, bounds: ColdBounds) -> None:
         self._instance = instance
-        self._bounds = bounds
+        self.bounds = bounds
         self._instances: tuple[str, ...] = (instance,)
         self._sent_s: dict[str, deque[float]] = {}
 
@@ -73,7 +78,7 @@
         int
             0 if other instances use up the bound.
         """
-        total = int(rate_per_s * self._bounds.factor + self._bounds.slack)
+        total = int(rate_per_s * self.bounds.factor + self.bounds.slack)
         count = len(self._instances)
         share, rest = divmod(total, count)
         if not rest:
--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -130,6 +130,8 @@
         Flows that this instance opened.
     waiting : WaitingOpenings
         Openings that wait for a target.
+    timing : EngineTiming
+        Times; may be replaced.
     answer_times, flow_times, wait_times : Histogram
         Durations of openings, flows and waits.
     """
@@ -154,7 +156,7 @@
         self._responsiveness = responsiveness
         self._outbox = outbox
         self._events = events
-        self._timing = timing or EngineTiming()
+        self.timing = timing or EngineTiming()
         self.waiting = WaitingOpenings()
         self._ended_elsewhere: set[int] = set()
         self._unanswered: deque[tuple[float, OpenedFlow]] = deque()
@@ -168,7 +170,7 @@
     @property
     def answer_limit_s(self) -> float:
         """Time after which an opening counts as unanswered."""
-        timing = self._timing
+        timing = self.timing
         limit_s = timing.answer_factor * self._usual_answer_s
         return min(max(limit_s, timing.least_answer_s), timing.most_answer_s)
 
@@ -217,7 +219,7 @@
         if not self.waiting:
             return due_s
         self.release(now_s)
-        retry_s = now_s + self._timing.release_s
+        retry_s = now_s + self.timing.release_s
         return retry_s if due_s is None else min(due_s, retry_s)
 
     def release(self, now_s: float) -> None:
@@ -307,7 +309,7 @@
             placement.target,
             now_s,
         )
-        expires_s = now_s + record.deadline_s + self._timing.flow_grace_s
+        expires_s = now_s + record.deadline_s + self.timing.flow_grace_s
         self.flows.add(flow, expires_s)
         self.flows.count_until(flow, now_s + self._counted_life_s)
         self._placer.note_started(placement.target)
@@ -422,7 +424,7 @@
         if target is None:
             return
         out_s = self._directory.out_for_s(target.record.zone, now_s)
-        if out_s > self._timing.zone_out_s:
+        if out_s > self.timing.zone_out_s:
             self.counters['dropped_zone_out'] += 1
             return
         self._forward(target, packet)
@@ -458,7 +460,7 @@
     def _resolve(self, head: PacketHead, now_s: float) -> KnownTarget | None:
         route = self._routes.find(head.destination)
         if route is None:
-            since_s = now_s - self._timing.dropped_route_s
+            since_s = now_s - self.timing.dropped_route_s
             route = self._routes.find_dropped(head.destination, since_s)
         if route is None:
             return None
@@ -547,7 +549,7 @@
     def _counted_life_s(self) -> float:
         """Time for which a flow counts if its closing packet is not seen."""
         life_s = _COUNTED_DURATIONS * self._usual_duration_s
-        return max(life_s, self._timing.least_counted_s)
+        return max(life_s, self.timing.least_counted_s)
 
     def _count(self, flow: OpenedFlow, until_s: float) -> None:
         flow.is_counted = True
@@ -572,7 +574,7 @@
         if last_s is None or not self._unanswered:
             return False
         due_s = self._unanswered[0][0]
-        return now_s - max(last_s, due_s) > self._timing.pause_s
+        return now_s - max(last_s, due_s) > self.timing.pause_s
 
     def _postpone(self, now_s: float) -> None:
         """Give answers that arrived during a pause time to be handled."""
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import gevent
+import msgspec
 from gevent.event import Event
 
 from siskinproxy.entry.beliefs import Beliefs, Dialect
@@ -122,6 +123,7 @@
             self._on_batch,
         )
         self.engine = self._build_engine(codec)
+        self._apply_bounds()
         self._timer = gevent.get_hub().loop.timer(0)
         self._ready_server = SmallHttpServer(
             parse_endpoint(cfg.listeners.ready), self._answer_ready, self.log
@@ -212,7 +214,6 @@
             self.loads,
             random.Random(),
         )
-        zone_out_s = ZONE_OUT_SHARE * self._cfg.bounds.zone_out_ms / 1000
         return EntryEngine(
             codec,
             self.directory,
@@ -221,9 +222,17 @@
             self.responsiveness,
             self.socket,
             self.log,
-            EngineTiming(zone_out_s=zone_out_s),
         )
 
+    def _apply_bounds(self) -> None:
+        bounds = self._cfg.bounds
+        self.directory.timing = DirectoryTiming(flow_life_s=bounds.flow_life_s)
+        self._cold_limit.bounds = ColdBounds(
+            bounds.cold_factor, bounds.cold_slack
+        )
+        zone_out_s = ZONE_OUT_SHARE * bounds.zone_out_ms / 1000
+        self.engine.timing = EngineTiming(zone_out_s=zone_out_s)
+
     def _keep_house(self) -> None:
         while not self._beliefs.is_complete:
             gevent.sleep(0.01)
@@ -346,8 +355,18 @@
         except SettingsError as exc:
             self.log.error('settings_rejected', reason=str(exc))
             return
-        is_same = found == self._cfg
-        self.log.event('settings_reloaded', changed=not is_same)
+        kept = _need_restart(self._cfg, found)
+        self._cfg = msgspec.structs.replace(self._cfg, bounds=found.bounds)
+        self._apply_bounds()
+        self.log.event('settings_reloaded', need_restart=','.join(kept))
+
+
+def _need_restart(old: EntrySettings, new: EntrySettings) -> list[str]:
+    """Return the sections whose changes take a restart to apply."""
+    sections = ('instance', 'listeners', 'store')
+    return [
+        name for name in sections if getattr(old, name) != getattr(new, name)
+    ]
 
 
 def _seeds(cfg: EntrySettings) -> tuple[InstanceRecord, ...]:
--- /dev/null
+++ b/siskinproxy/entry/tests/test_process.py
@@ -0,0 +1,109 @@
+"""Life of an entry process: start, reload, refused settings, stop."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import gevent
+import pytest
+
+from siskinproxy.platform.entry_main import SETTINGS_VARIABLE
+from siskinproxy.soak.run import _SETTINGS
+
+LIMIT_S = 20
+
+
+def write_settings(path, **changes):
+    text = _SETTINGS.format(
+        number=1,
+        host='127.250.1.1',
+        first='127.250.1.2',
+        packet=7711,
+        ready=7712,
+        peer=7713,
+        metrics=7714,
+        store_port=9,
+    )
+    for old, new in changes.get('edits', ()):
+        assert old in text
+        text = text.replace(old, new)
+    path.write_text(text)
+
+
+class Running:
+    """A process and the lines that it has written."""
+
+    def __init__(self, folder):
+        self.path = folder / 'settings.toml'
+        self.log = folder / 'log'
+        write_settings(self.path)
+        environment = os.environ | {SETTINGS_VARIABLE: str(self.path)}
+        with self.log.open('wb') as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, '-m', 'siskinproxy.platform.entry_main'],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def wait_for(self, text):
+        with gevent.Timeout(LIMIT_S):
+            while text not in self.log.read_text():
+                gevent.sleep(0.05)
+        lines = self.log.read_text().splitlines()
+        return next(line for line in lines if text in line)
+
+
+@pytest.fixture
+def running(tmp_path):
+    found = Running(tmp_path)
+    yield found
+    if found.popen.poll() is None:
+        found.popen.kill()
+    found.popen.wait(LIMIT_S)
+
+
+def test_reload_applies_bounds_and_names_what_needs_a_restart(running):
+    """Guards against a reload that is logged but changes nothing."""
+    running.wait_for('event=process_started')
+    edits = [('stop_s = 6', 'stop_s = 3'), ('zone = "z1"', 'zone = "z2"')]
+    write_settings(running.path, edits=edits)
+    running.popen.send_signal(signal.SIGHUP)
+    assert 'need_restart=instance' in running.wait_for('settings_reloaded')
+
+
+def test_wrong_settings_are_refused_and_the_earlier_ones_kept(running):
+    """Guards against a process that ends because of a wrong file."""
+    running.wait_for('event=process_started')
+    write_settings(running.path, edits=[('stop_s = 6', 'stop_s = "6"')])
+    running.popen.send_signal(signal.SIGHUP)
+    line = running.wait_for('settings_rejected')
+    assert 'bounds.stop_s' in line
+    assert running.popen.poll() is None
+
+
+def test_stop_ends_the_process_in_time(running):
+    """Guards against a forced end, and against an exit code that alarms."""
+    running.wait_for('event=process_started')
+    running.popen.send_signal(signal.SIGTERM)
+    running.wait_for('event=process_stopping')
+    assert running.popen.wait(6) == 0
+    assert 'event=process_stopped' in running.log.read_text()
+
+
+def test_a_wrong_key_at_the_start_ends_the_process(tmp_path):
+    """Guards against a start with settings that are half understood."""
+    path = Path(tmp_path) / 'settings.toml'
+    write_settings(path, edits=[('zone = "z1"', 'zone = ""')])
+    found = subprocess.run(
+        [sys.executable, '-m', 'siskinproxy.platform.entry_main'],
+        env=os.environ | {SETTINGS_VARIABLE: str(path)},
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+        check=False,
+    )
+    assert found.returncode == 2
+    assert 'key=instance.zone' in found.stderr
