--- a/siskinproxy/balancer/settings_reference.py
+++ b/siskinproxy/balancer/settings_reference.py
@@ -12,6 +12,7 @@
     describe_type,
     iterate_fields,
 )
+from siskinproxy.entry.settings import EntrySettings
 
 __all__ = ('main', 'render_reference')
 
@@ -25,6 +26,13 @@
 the dotted IPv4 address of a host end the process with exit code 2 and one
 line on stderr that names file, key, expected and found value."""
 
+_ENTRY_INTRODUCTION: Final = """\
+# Settings of an entry process
+
+An entry process reads a file of its own, with the same checks. SIGHUP reads it
+again: bounds are applied, other sections need a restart, and a wrong file
+leaves the earlier settings in force."""
+
 _TABLE_HEAD: Final = """\
 | key | value | default | meaning |
 | --- | --- | --- | --- |"""
@@ -38,11 +46,13 @@
     str
         Markdown text of ``docs/settings.md``.
     """
-    sections = (
-        '\n'.join(_render_section(section))
-        for section in iterate_fields(InstanceSettings)
+    parts = (
+        _INTRODUCTION,
+        *_render_sections(InstanceSettings),
+        _ENTRY_INTRODUCTION,
+        *_render_sections(EntrySettings),
     )
-    return '\n\n'.join((_INTRODUCTION, *sections)) + '\n'
+    return '\n\n'.join(parts) + '\n'
 
 
 def main() -> None:
@@ -50,6 +60,11 @@
     sys.stdout.write(render_reference())
 
 
+def _render_sections(settings: type[msgspec.Struct]) -> Iterator[str]:
+    for section in iterate_fields(settings):
+        yield '\n'.join(_render_section(section))
+
+
 def _render_section(section: SettingsField) -> Iterator[str]:
     yield f'## [{section.name}]'
     yield ''
