Give fields of the adapter the product's names on both sides

Cause: attributes of the adapter's bodies and a log key carried names of the platform, which the soak's stand-ins then used outside the adapter.

Change: the platform's names stand only where a field is declared.

Ruled out: a second set of types for the stand-ins. platform, entry and soak: 221 tests passed.

--- a/siskinproxy/entry/beliefs.py
+++ b/siskinproxy/entry/beliefs.py
@@ -238,7 +238,7 @@
             change=change.value,
             service=record.service,
             zone=record.zone,
-            warmup_left_ms=round(1000 * record.warmup_left_s),
+            cold_ms=round(1000 * record.warmup_left_s),
             revision=record.revision,
             source=origin.name,
         )
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -63,14 +63,14 @@
 
     items: tuple[ItemBody, ...]
     has_more: bool
-    current_rev: int
+    revision: int = msgspec.field(name='current_rev')
 
 
 class EventsBody(msgspec.Struct):
     """Answer to a watch."""
 
     events: tuple[ItemBody, ...]
-    current_rev: int
+    revision: int = msgspec.field(name='current_rev')
 
 
 class LeaseBody(msgspec.Struct):
@@ -126,7 +126,7 @@
         path = f'{RANGE_PATH}?prefix={prefix}'
         page = self._page(path)
         items = list(page.items)
-        revision = page.current_rev
+        revision = page.revision
         while page.has_more:
             page = self._page(f'{path}&after={quote(items[-1].key)}')
             items.extend(page.items)
@@ -148,7 +148,7 @@
         _check(answer)
         found = _parse(_EVENTS, answer)
         decoded = tuple(_decode(each) for each in found.events)
-        return PrefixChanges(decoded, found.current_rev, is_complete=False)
+        return PrefixChanges(decoded, found.revision, is_complete=False)
 
     def grant_lease(self, ttl_s: float) -> int:
         """Return the id of a new lease."""
--- a/siskinproxy/platform/records.py
+++ b/siskinproxy/platform/records.py
@@ -56,7 +56,7 @@
     version: str  # of the target's software
     slots: int
     state: str
-    warmup_left_ms: float
+    cold_ms: float = msgspec.field(name='warmup_left_ms')
     sequence: int
     born: int = 0
 
@@ -145,7 +145,7 @@
     entry = _TARGET_DECODER.decode(item.value)
     if entry.state not in {'ready', 'draining'}:
         return UnusableRecord('unknown state')
-    if entry.slots < 1 or entry.warmup_left_ms < 0:
+    if entry.slots < 1 or entry.cold_ms < 0:
         return UnusableRecord('number out of range')
     return TargetRecord(
         name=name,
@@ -155,7 +155,7 @@
         zone=entry.zone,
         slots=entry.slots,
         is_draining=entry.state == 'draining',
-        warmup_left_s=entry.warmup_left_ms / 1000,
+        warmup_left_s=entry.cold_ms / 1000,
         started_unix_ms=entry.born,
         revision=item.revision,
     )
