Share the bound on cold targets from the first packet on, and reserve a fifth

Cause: read in the code: a process learned the other instances' share 0.5 s after it was ready, so after a restart of all each one could send a cold target the whole bound. Instances that know different fleets could exceed it as well.

Change: the fleet is used before the first packet is read; four fifths of the bound are given out.

Test: allowance 52 of 65 with another instance registered before, 26 after.

--- a/siskinproxy/entry/cold_limit.py
+++ b/siskinproxy/entry/cold_limit.py
@@ -19,6 +19,11 @@
 WINDOW_S: Final = 1.2
 
 
+#: Part of the bound that is given out; the rest covers instances that know
+#: different fleets at the same time.
+GIVEN_OUT: Final = 0.8
+
+
 class ColdBounds(msgspec.Struct, frozen=True):
     """Bound on the requests that a cold target may get in a second.
 
@@ -78,7 +83,8 @@
         int
             0 if other instances use up the bound.
         """
-        total = int(rate_per_s * self.bounds.factor + self.bounds.slack)
+        bound = rate_per_s * self.bounds.factor + self.bounds.slack
+        total = int(GIVEN_OUT * bound)
         count = len(self._instances)
         share, rest = divmod(total, count)
         if not rest:
--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -281,7 +281,6 @@
             # Another instance may hold an earlier copy.
             self._ended_elsewhere.add(zlib.crc32(head.flow))
         opening = WaitingOpening(head, packet, route, now_s)
-        # Openings that wait go first, if they should.
         placement = self._place(route, head.flow, now_s, full_load=FULL_LOAD)
         if placement.target is not None:
             self._open(opening, placement, now_s)
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -255,12 +255,12 @@
                 self.log.event(
                     'target_changed', target=target.name, change='not_returned'
                 )
-            senders = self.instances.possible_senders(now_s)
-            self._cold_limit.set_instances(senders)
             self._update_fleet(now_s)
             self._run_timer()
 
     def _update_fleet(self, now_s: float) -> None:
+        """Use what is known of other instances."""
+        self._cold_limit.set_instances(self.instances.possible_senders(now_s))
         registered = tuple(self.instances.registered())
         receivers = report_receivers(self._record, registered)
         self._receivers = receivers
