--- a/siskinproxy/entry/tests/test_process.py
+++ b/siskinproxy/entry/tests/test_process.py
@@ -13,13 +13,15 @@
 from siskinproxy.soak.run import _SETTINGS
 
 LIMIT_S = 20
+#: Address of its own for each worker of pytest, so that they can run together.
+HOST = f'127.240.{os.getpid() >> 8 & 255}.{os.getpid() & 255}'
 
 
 def write_settings(path, **changes):
     text = _SETTINGS.format(
         number=1,
-        host='127.250.1.1',
-        first='127.250.1.2',
+        host=HOST,
+        first=HOST,
         packet=7711,
         ready=7712,
         peer=7713,
