Begin the ramp of a warm-up when the target accepts again

Cause: the ramp after resets or refusals ran on while the target was still down, and pauses between attempts (0.25 s to 5 s) hide when it comes back. A run of test_target_cold_again_recovers on the old code, with three copies of it and two measurements on six cores, failed again: the target crashed at 713.08 s and was back, cold, at 715.08 s; at 715.59 s three requests of its four slots were in progress, where its own ramp of 2 s allowed 1.3 and a margin of 1. The ramp here had to be at 0.75 for that, so it began at 714.1 s or earlier.

Change: a warm-up that began with resets or refusals restarts until the target accepts an opening segment.

--- a/siskinproxy/targets/admission.py
+++ b/siskinproxy/targets/admission.py
@@ -331,7 +331,7 @@
         if record is None:
             return
         record.accepted = True
-        record.state.evidence.note_accepted()
+        record.state.note_accepted()
         if record.listener.mode == 'stream':
             self._flows.pop(key)
 
@@ -865,6 +865,12 @@
         warmup = state.warmup
         if warmup is None:
             return
+        if state.awaits_acceptance:
+            # A target that is down is not warming up. Its own ramp starts
+            # when it accepts again, which may be seconds after the resets or
+            # refusals that began the warm-up.
+            warmup.restart(now_s)
+            return
         peer_slowdown = max(self._peer_slowdown(state), 1)
         slowdown = state.evidence.slowdown
         warmup.advance(now_s, hold=slowdown > HOLD_FACTOR * peer_slowdown)
--- a/siskinproxy/targets/target_state.py
+++ b/siskinproxy/targets/target_state.py
@@ -27,6 +27,11 @@
 MAX_PAUSE_S: Final = 5.0
 _MAX_DOUBLINGS: Final = 8
 
+#: What shows that a target is down, so that its own ramp has not begun.
+_DOWN_REASONS: Final = frozenset(
+    (ColdStartReason.REFUSALS, ColdStartReason.RESETS),
+)
+
 #: Low median of the ages of requests in progress, relative to the baseline,
 #: above which a target counts as stalled, for a large number of requests.
 STALL_FACTOR: Final = 2.0
@@ -155,12 +160,18 @@
         The target as declared.
     now_s : float
         Current time in seconds.
+
+    Attributes
+    ----------
+    awaits_acceptance : bool
+        Whether the target was down and has accepted no flow since.
     """
 
     __slots__ = (
         '_normal_start_s',
         '_pause_until_s',
         '_stalled_s',
+        'awaits_acceptance',
         'cold_start',
         'evidence',
         'flows',
@@ -186,6 +197,7 @@
         self.out_of_service = False
         self.retired = False
         self.stalled = False
+        self.awaits_acceptance = False
         self.request_limit = target.slots
         self.stream_limit = target.connections
         self._pause_until_s: float = 0
@@ -303,10 +315,16 @@
             Current time in seconds.
         """
         self.cold_start = reason
+        self.awaits_acceptance = reason in _DOWN_REASONS
         self.warmup = WarmUp(self.target.warmup_s, now_s)
         self.stalled = False
         self.evidence.restart()
 
+    def note_accepted(self) -> None:
+        """Note that the target accepted an opening segment."""
+        self.evidence.note_accepted()
+        self.awaits_acceptance = False
+
     def pause_after_refusals(self, now_s: float) -> None:
         """Set the time of the next attempt after refusals in a row.
 
--- a/siskinproxy/targets/tests/test_admission.py
+++ b/siskinproxy/targets/tests/test_admission.py
@@ -180,6 +180,35 @@
     assert reports(shard, 0.02)['t0'].status is TargetStatus.WARMING
 
 
+def refuse_flows(shard):
+    for number in range(2):
+        open_flow(shard, number, 0.0)
+        shard.target_refused(number.to_bytes(12), 0.01)
+
+
+def reset_flows(shard):
+    targets = [open_flow(shard, number, 0.0).target for number in range(2)]
+    for number, target in enumerate(targets):
+        shard.accepted(number.to_bytes(12), 0.0)
+        close_flow(shard, number, target, 0.01, reset=True)
+
+
+@pytest.mark.parametrize('end_flows', [refuse_flows, reset_flows])
+@pytest.mark.parametrize('silence_s', [1.0, 5.0, 20.0, 100.0])
+def test_warm_up_waits_for_the_first_accepted_flow(end_flows, silence_s):
+    """Guards against a ramp that ends while its target is still down."""
+    shard = build_shard(build_targets(1, slots=10))
+    end_flows(shard)
+    back_s = 0.01 + silence_s
+    open_flow(shard, 9, back_s)
+    assert reports(shard, back_s)['t0'].warmup_fraction == pytest.approx(0.1)
+    shard.accepted((9).to_bytes(12), back_s)
+    open_flow(shard, 10, back_s + 15)
+    report = reports(shard, back_s + 15)['t0']
+    assert report.status is TargetStatus.WARMING
+    assert report.warmup_fraction == pytest.approx(0.55, abs=0.01)
+
+
 def test_slow_completions_of_one_target_start_a_warm_up():
     """Guards against cold starts that health endpoints do not show."""
     shard = build_shard(build_targets(3, slots=1))
--- a/siskinproxy/targets/warmup.py
+++ b/siskinproxy/targets/warmup.py
@@ -71,6 +71,18 @@
             self._progress_s += max(now_s - self._advanced_s, 0)
         self._advanced_s = now_s
 
+    def restart(self, now_s: float) -> None:
+        """Begin the ramp again.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+        """
+        self._started_s = now_s
+        self._advanced_s = now_s
+        self._progress_s = 0
+
     def is_complete(self, now_s: float) -> bool:
         """Return whether the target gets the full load.
 
