Use every bound of the settings; show what instances believe with siskinproxy-fleet

Cause: `heartbeat_ms`, `drain_ms` and `config_ms` were checked and then unused, so a deployment with tighter bounds than 3 s would have missed them. An operator could see an instance's beliefs only in its log, and the age of beliefs that the store never confirmed was logged as the age of the machine.

Change: `entry/bounds.py` derives the times of follower, directory, engine and cold limit from the bounds. Instances serve /status and keep the last 256 changes by operators; `siskinproxy-fleet` has status, audit, check and diff with the exit codes of siskinproxyctl. The event loop's timers are closed.

Ruled out: an audit trail in the store, since the product does not take part in operators' writes and all instances would write the same entry at once; longer watches under wider bounds, since calls to the store cost little.

Found by the new test on the way: the retry delay was not scaled, so a bound of 0.6 s could be missed.

--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -81,6 +81,8 @@
 
     Attributes
     ----------
+    timing : FollowerTiming
+        Times.
     confirmed_s : float
         When the store confirmed the newest revision, as far as is known;
         negative before the first answer.
@@ -104,7 +106,7 @@
         self._beliefs = beliefs
         self._selector = selector
         self._events = events
-        self._timing = timing or FollowerTiming()
+        self.timing = timing or FollowerTiming()
         self._clock = clock
         self._clients: dict[str, PeerClient] = {}
         self._changed = Event()
@@ -128,9 +130,25 @@
             client.close()
         self._clients.clear()
 
-    def age_s(self, now_s: float) -> float:
-        """Return the age of the newest confirmed revision, in seconds."""
-        return now_s - self.confirmed_s
+    @property
+    def source_name(self) -> str:
+        """Store or instance that answered last; empty before the first."""
+        return self._source.name if self._source else ''
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return the age of the newest confirmed revision.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds; None if no answer has been confirmed by the store.
+        """
+        return None if self.confirmed_s < 0 else now_s - self.confirmed_s
 
     def answer(self, query: ChangesQuery) -> ChangesAnswer:
         """Answer another instance; waits for a change.
@@ -148,7 +166,7 @@
             elsewhere.
         """
         mirror = self._beliefs.mirror
-        is_fresh = self.age_s(self._clock()) <= self._timing.stale_s
+        is_fresh = not self._is_stale(self.age_s(self._clock()))
         if is_fresh and mirror.revision <= query.revision:
             self._changed.wait(query.wait_ms / 1000)
         now_s = self._clock()
@@ -157,7 +175,7 @@
             self._pack(query.revision, changes),
             changes.revision,
             changes.is_complete,
-            age_ms=round(1000 * self.age_s(now_s)),
+            age_ms=_milliseconds(self.age_s(now_s)),
             may_have_lapsed=self._may_have_lapsed(now_s),
         )
 
@@ -178,7 +196,7 @@
                 self._events.event('store_history_lost', reason=str(exc))
             except (StoreError, LinkFormatError) as exc:
                 self._note_failed(source, exc)
-                gevent.sleep(self._timing.retry_s)
+                gevent.sleep(self.timing.retry_s)
 
     def _ask(self, source: Source) -> None:
         if source.instance is None:
@@ -186,20 +204,21 @@
             now_s = self._clock()
             self._take_over(source, changes, now_s, now_s)
             if changes.items:
-                gevent.sleep(self._timing.gather_s)
+                gevent.sleep(self.timing.gather_s)
             return
         answer = self._ask_instance(source)
         now_s = self._clock()
         changes = PrefixChanges(
             unpack_items(answer.packed), answer.revision, answer.is_complete
         )
-        confirmed_s = now_s - answer.age_ms / 1000
+        age_s = None if answer.age_ms is None else answer.age_ms / 1000
+        confirmed_s = -1 if age_s is None else now_s - age_s
         if answer.may_have_lapsed:
             self._returned_s = now_s
         self._take_over(source, changes, confirmed_s, now_s)
-        if answer.age_ms / 1000 > self._timing.stale_s:
+        if self._is_stale(age_s):
             self._selector.note_failed(source, now_s)
-            gevent.sleep(self._timing.retry_s)
+            gevent.sleep(self.timing.retry_s)
 
     def _ask_store(self) -> PrefixChanges:
         if self._needs_all:
@@ -207,17 +226,17 @@
             self._needs_all = False
             return changes
         return self._store.watch(
-            self._prefix, self._beliefs.mirror.revision, self._timing.watch_s
+            self._prefix, self._beliefs.mirror.revision, self.timing.watch_s
         )
 
     def _ask_instance(self, source: Source) -> ChangesAnswer:
         client = self._clients.get(source.name)
         if client is None:
             client = PeerClient(
-                source.instance.address, self._timing.peer_timeout_s
+                source.instance.address, self.timing.peer_timeout_s
             )
             self._clients[source.name] = client
-        wait_ms = round(1000 * self._timing.watch_s)
+        wait_ms = round(1000 * self.timing.watch_s)
         revision = self._beliefs.mirror.revision
         return client.ask(ChangesQuery(self._name, revision, wait_ms))
 
@@ -246,16 +265,17 @@
     ) -> None:
         self._selector.note_answered(source)
         if source != self._source:
+            age_s = None if confirmed_s < 0 else now_s - confirmed_s
             self._events.event(
                 'source_chosen',
                 source=source.name,
-                age_ms=round(1000 * (now_s - confirmed_s)),
+                age_ms=_milliseconds(age_s),
                 revision=self._beliefs.mirror.revision,
             )
             self._source = source
         if confirmed_s <= self.confirmed_s:
             return
-        if 0 <= self.confirmed_s < confirmed_s - self._timing.stale_s:
+        if 0 <= self.confirmed_s < confirmed_s - self.timing.stale_s:
             self._returned_s = now_s
             self._events.event(
                 'store_regained',
@@ -265,10 +285,13 @@
         self._lost_s = None
         self.confirmed_s = confirmed_s
 
+    def _is_stale(self, age_s: float | None) -> bool:
+        return age_s is None or age_s > self.timing.stale_s
+
     def _may_have_lapsed(self, now_s: float) -> bool:
         if self._returned_s is None:
             return False
-        return now_s - self._returned_s < self._timing.return_s
+        return now_s - self._returned_s < self.timing.return_s
 
     def _note_failed(
         self, source: Source, exc: StoreError | LinkFormatError
@@ -282,5 +305,9 @@
                 source=source.name,
                 kind=type(exc).__name__,
                 reason=str(exc),
-                age_ms=round(1000 * self.age_s(now_s)),
+                age_ms=_milliseconds(self.age_s(now_s)),
             )
+
+
+def _milliseconds(age_s: float | None) -> int | None:
+    return None if age_s is None else round(1000 * age_s)
--- a/siskinproxy/entry/metrics.py
+++ b/siskinproxy/entry/metrics.py
@@ -4,6 +4,7 @@
 import takes as long as that of all that is needed to forward packets.
 """
 
+import math
 import time
 from collections import Counter
 from importlib import import_module
@@ -11,7 +12,7 @@
 
 import msgspec
 
-from siskinproxy.entry.directory import Presence
+from siskinproxy.entry.status import state_of
 
 __all__ = (
     'BOUNDS_S',
@@ -92,7 +93,8 @@
     MetricText(
         'siskinproxy_entry_belief_age_seconds',
         'gauge',
-        'Time since the store confirmed what this instance believes.',
+        'Time since the store confirmed what this instance believes; '
+        '`+Inf` if never.',
     ),
     MetricText(
         'siskinproxy_entry_answer_seconds',
@@ -168,8 +170,8 @@
             'siskinproxy_entry_targets': self._targets(now_s),
             'siskinproxy_entry_instances': len(process.instances),
             'siskinproxy_entry_config_version': process.routes.version,
-            'siskinproxy_entry_belief_age_seconds': process.follower.age_s(
-                now_s
+            'siskinproxy_entry_belief_age_seconds': _age_value(
+                process.follower.age_s(now_s)
             ),
             'siskinproxy_entry_answer_seconds': engine.answer_times,
             'siskinproxy_entry_flow_seconds': engine.flow_times,
@@ -186,14 +188,11 @@
         process = self._process
         states: Counter[str] = Counter()
         for target in process.directory.targets():
-            if target.presence is not Presence.LISTED:
-                states[target.presence.value] += 1
-            elif target.record.is_draining:
-                states['draining'] += 1
-            elif process.responsiveness.is_suspected(target):
-                states['suspected'] += 1
-            elif target.is_cold(now_s):
-                states['cold'] += 1
-            else:
-                states['in_use'] += 1
+            is_suspected = process.responsiveness.is_suspected(target)
+            states[state_of(target, now_s, is_suspected=is_suspected)] += 1
         return dict(states)
+
+
+def _age_value(age_s: float | None) -> float:
+    """Return the value of an age; that of an unknown one is infinite."""
+    return math.inf if age_s is None else age_s
--- a/siskinproxy/entry/peer_messages.py
+++ b/siskinproxy/entry/peer_messages.py
@@ -58,8 +58,9 @@
         Revision up to which they are complete.
     is_complete : bool
         Whether other keys do not exist.
-    age_ms : int
-        Time since the store confirmed the revision, in milliseconds.
+    age_ms : int or None
+        Time since the store confirmed the revision, in milliseconds; None if
+        it has never done so.
     may_have_lapsed : bool
         Whether removed entries may have expired while the store was away.
     """
@@ -67,7 +68,7 @@
     packed: bytes
     revision: int
     is_complete: bool
-    age_ms: int
+    age_ms: int | None
     may_have_lapsed: bool
 
 
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -10,10 +10,17 @@
 import msgspec
 from gevent.event import Event
 
+from siskinproxy.entry.audit import AuditTrail
 from siskinproxy.entry.beliefs import Beliefs, Dialect
-from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
-from siskinproxy.entry.directory import DirectoryTiming, TargetDirectory
-from siskinproxy.entry.engine import EngineTiming, EntryEngine
+from siskinproxy.entry.bounds import (
+    cold_bounds,
+    directory_timing,
+    engine_timing,
+    follower_timing,
+)
+from siskinproxy.entry.cold_limit import ColdLimit
+from siskinproxy.entry.directory import TargetDirectory
+from siskinproxy.entry.engine import EntryEngine
 from siskinproxy.entry.event_log import BoundedLog
 from siskinproxy.entry.follower import ChangeFollower
 from siskinproxy.entry.http_server import HttpAnswer, SmallHttpServer
@@ -30,22 +37,24 @@
 from siskinproxy.entry.peer_link import PeerServer
 from siskinproxy.entry.placing import Placer
 from siskinproxy.entry.readiness import Readiness
-from siskinproxy.entry.records import Address
+from siskinproxy.entry.records import Address, parse_endpoint
 from siskinproxy.entry.registration import Registration
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.settings import EntrySettings
 from siskinproxy.entry.sources import SourceSelector
+from siskinproxy.entry.status import STATUS_PATH, StatusPage
 from siskinproxy.entry.stopping import FORWARD_AFTER_STOP_S, may_leave
 from siskinproxy.entry.store import PrefixStore
 from siskinproxy.errors import SettingsError
 from siskinproxy.settings_file import read_settings
 
-__all__ = ('EntryProcess', 'parse_endpoint')
+__all__ = ('EntryProcess',)
 
 #: Path of the metrics.
 METRICS_PATH: Final = '/metrics'
 METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
+STATUS_TYPE: Final = 'application/json'
 #: Time between two rounds of housekeeping, in seconds.
 HOUSEKEEPING_S: Final = 0.5
 #: Time between two looks at whether a stopping instance may leave, in seconds.
@@ -53,15 +62,6 @@
 #: Time after the start in which callers may still repeat what was lost while
 #: the process was down, in seconds.
 STARTING_S: Final = 2.0
-#: Part of the zone-out bound after which nothing is sent any more; the rest
-#: covers the delay of the change.
-ZONE_OUT_SHARE: Final = 0.8
-
-
-def parse_endpoint(text: str) -> Address:
-    """Return an endpoint of the settings as an address."""
-    host, _, port = text.rpartition(':')
-    return Address(host, int(port))
 
 
 class EntryProcess:
@@ -92,30 +92,26 @@
         self._path = path
         self._cfg = cfg
         self._store = store
-        self._readiness = Readiness.STARTING
+        self.readiness = Readiness.STARTING
         self.loop_lags = Histogram()
         self._stopped = Event()
-        self._started_s = time.monotonic()
+        self.started_s = time.monotonic()
         self.log = BoundedLog(
             'entry', sys.stdout.fileno(), instance=cfg.instance.name
         )
-        self.directory = TargetDirectory(
-            DirectoryTiming(flow_life_s=cfg.bounds.flow_life_s)
-        )
+        self.directory = TargetDirectory()
         self.routes = RouteTable()
         self.instances = InstanceDirectory()
-        self._beliefs = Beliefs(
+        self.audit = AuditTrail(self.log)
+        self.beliefs = Beliefs(
             dialect,
             self.directory,
             self.routes,
             self.instances,
-            self.log,
+            self.audit,
         )
         self.responsiveness = Responsiveness()
-        self._cold_limit = ColdLimit(
-            cfg.instance.name,
-            ColdBounds(cfg.bounds.cold_factor, cfg.bounds.cold_slack),
-        )
+        self._cold_limit = ColdLimit(cfg.instance.name, cold_bounds(cfg.bounds))
         self.loads = LoadView()
         self.socket = PacketSocket(
             parse_endpoint(cfg.listeners.packet),
@@ -123,12 +119,12 @@
             self._on_batch,
         )
         self.engine = self._build_engine(codec)
-        self._apply_bounds()
         self._timer = gevent.get_hub().loop.timer(0)
         self._ready_server = SmallHttpServer(
             parse_endpoint(cfg.listeners.ready), self._answer_ready, self.log
         )
         self._metrics = EntryMetrics(self)
+        self._status = StatusPage(self)
         self._metrics_server = SmallHttpServer(
             Address(cfg.instance.address, cfg.listeners.metrics_port),
             self._answer_metrics,
@@ -145,17 +141,18 @@
             cfg.instance.name,
             store,
             dialect.prefix,
-            self._beliefs,
+            self.beliefs,
             SourceSelector(
                 record, self.instances, random.Random(), _seeds(cfg)
             ),
             self.log,
         )
+        self._apply_bounds()
         self._peer_server = PeerServer(
             record.address, self.follower.answer, self.log
         )
         self._registration = Registration(store, record, self.log)
-        self._record = record
+        self.record = record
         self._receivers: tuple[InstanceRecord, ...] = ()
         self._exchange = LoadExchange(
             record.address,
@@ -226,22 +223,20 @@
 
     def _apply_bounds(self) -> None:
         bounds = self._cfg.bounds
-        self.directory.timing = DirectoryTiming(flow_life_s=bounds.flow_life_s)
-        self._cold_limit.bounds = ColdBounds(
-            bounds.cold_factor, bounds.cold_slack
-        )
-        zone_out_s = ZONE_OUT_SHARE * bounds.zone_out_ms / 1000
-        self.engine.timing = EngineTiming(zone_out_s=zone_out_s)
+        self.follower.timing = follower_timing(bounds)
+        self.directory.timing = directory_timing(bounds)
+        self._cold_limit.bounds = cold_bounds(bounds)
+        self.engine.timing = engine_timing(bounds)
 
     def _keep_house(self) -> None:
-        while not self._beliefs.is_complete:
+        while not self.beliefs.is_complete:
             gevent.sleep(0.01)
         self._update_fleet(time.monotonic())
         self.socket.start()
-        self._readiness = Readiness.READY
+        self.readiness = Readiness.READY
         self.log.event(
             'process_ready',
-            after_ms=round(1000 * (time.monotonic() - self._started_s)),
+            after_ms=round(1000 * (time.monotonic() - self.started_s)),
             config=self.routes.version,
             routes=len(self.routes),
         )
@@ -262,16 +257,16 @@
         """Use what is known of other instances."""
         self._cold_limit.set_instances(self.instances.possible_senders(now_s))
         registered = tuple(self.instances.registered())
-        receivers = report_receivers(self._record, registered)
+        receivers = report_receivers(self.record, registered)
         self._receivers = receivers
         self.loads.expire(now_s)
-        self.loads.set_fleet(self._record.zone, registered)
+        self.loads.set_fleet(self.record.zone, registered)
 
     def _build_report(self) -> LoadReport:
         return LoadReport(
-            self._record.name,
-            self._record.zone,
-            self._readiness is Readiness.STOPPING,
+            self.record.name,
+            self.record.zone,
+            self.readiness is Readiness.STOPPING,
             dict(self.loads.own_flows),
             self.engine.take_ended_elsewhere(),
         )
@@ -279,7 +274,7 @@
     def _choose_receivers(self) -> tuple[Address, ...]:
         """Return who gets a report: other zones only if targets are busy."""
         is_busy = self._needs_reports()
-        zone = self._record.zone
+        zone = self.record.zone
         return tuple(
             each.address
             for each in self._receivers
@@ -287,17 +282,19 @@
         )
 
     def _answer_ready(self, path: str) -> HttpAnswer:
-        is_ready = self._readiness is Readiness.READY
+        is_ready = self.readiness is Readiness.READY
         return HttpAnswer(200 if is_ready else 503)
 
     def _answer_metrics(self, path: str) -> HttpAnswer:
+        if path == STATUS_PATH:
+            return HttpAnswer(200, self._status.render(), STATUS_TYPE)
         if path != METRICS_PATH:
             return HttpAnswer(404)
         return HttpAnswer(200, self._metrics.render(), METRICS_TYPE)
 
     def _needs_reports(self) -> bool:
         now_s = time.monotonic()
-        is_starting = now_s - self._started_s < STARTING_S
+        is_starting = now_s - self.started_s < STARTING_S
         return is_starting or self._placer.is_busy(now_s)
 
     def _on_packet(self, packet: bytes) -> None:
@@ -313,6 +310,7 @@
         self._timer_due_s = due_s
         self._timer.stop()
         if due_s is not None:
+            self._timer.close()
             self._timer = gevent.get_hub().loop.timer(max(due_s - now_s, 0))
             self._timer.start(self._on_timer)
 
@@ -329,7 +327,7 @@
     def _stop(self) -> None:
         """Leave the fabric when the zone allows it, then end."""
         told_s = time.monotonic()
-        absent = self.loads.absent(self._record.zone, told_s)
+        absent = self.loads.absent(self.record.zone, told_s)
         self.log.event(
             'process_told_to_stop',
             flows=len(self.engine.flows),
@@ -337,13 +335,13 @@
         )
         while not may_leave(
             len(absent),
-            max(len(self.instances.in_zone(self._record.zone)), 1),
+            max(len(self.instances.in_zone(self.record.zone)), 1),
             time.monotonic() - told_s,
             self._cfg.bounds.stop_s,
         ):
             gevent.sleep(STOP_CHECK_S)
-            absent = self.loads.absent(self._record.zone, time.monotonic())
-        self._readiness = Readiness.STOPPING
+            absent = self.loads.absent(self.record.zone, time.monotonic())
+        self.readiness = Readiness.STOPPING
         self.log.event(
             'process_stopping',
             waited_ms=round(1000 * (time.monotonic() - told_s)),
@@ -357,11 +355,14 @@
             found = read_settings(self._path, EntrySettings)
         except SettingsError as exc:
             self.log.error('settings_rejected', reason=str(exc))
+            self.audit.keep('settings_rejected', str(exc))
             return
         kept = _need_restart(self._cfg, found)
         self._cfg = msgspec.structs.replace(self._cfg, bounds=found.bounds)
         self._apply_bounds()
-        self.log.event('settings_reloaded', need_restart=','.join(kept))
+        sections = ','.join(kept)
+        self.log.event('settings_reloaded', need_restart=sections)
+        self.audit.keep('settings_reloaded', sections)
 
 
 def _need_restart(old: EntrySettings, new: EntrySettings) -> list[str]:
--- a/siskinproxy/entry/records.py
+++ b/siskinproxy/entry/records.py
@@ -18,6 +18,7 @@
     'TargetRecord',
     'UnusableRecord',
     'ZoneTakenOut',
+    'parse_endpoint',
     'token_of',
 )
 
@@ -40,6 +41,12 @@
     port: int
 
 
+def parse_endpoint(text: str) -> Address:
+    """Return an endpoint of checked settings as an address."""
+    host, _, port = text.rpartition(':')
+    return Address(host, int(port))
+
+
 class RequestKind(enum.Enum):
     """What may be repeated of a request."""
 
--- /dev/null
+++ b/siskinproxy/entry/status.py
@@ -0,0 +1,188 @@
+"""What an instance believes, as a page for operators."""
+
+import time
+from typing import Any
+
+import msgspec
+
+from siskinproxy.entry.audit import AuditEntry
+from siskinproxy.entry.directory import KnownTarget, Presence
+
+__all__ = (
+    'STATUS_PATH',
+    'InstanceStatus',
+    'StatusPage',
+    'TargetView',
+    'state_of',
+)
+
+#: Path of the page, on the address of the metrics.
+STATUS_PATH = '/status'
+
+
+class TargetView(msgspec.Struct, frozen=True):
+    """A target as one instance sees it.
+
+    Parameters
+    ----------
+    name, service, zone : str
+        As the target announced itself.
+    state : str
+        Result of `state_of`.
+    flows : int
+        Flows that this instance opened there.
+    """
+
+    name: str
+    service: str
+    zone: str
+    state: str
+    flows: int
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """State and beliefs of an instance.
+
+    Parameters
+    ----------
+    name, zone : str
+        Identity.
+    readiness : str
+        Whether the fabric should deliver packets to it.
+    uptime_s : float
+        Time since the start, in seconds.
+    config_version : int
+        Version in force; 0 before the first configuration.
+    routes : int
+        Routes in force.
+    belief_age_s : float or None
+        Time since the store confirmed these beliefs, in seconds; None before
+        it did so for the first time.
+    revision : int
+        Revision of the store that is known.
+    source : str
+        Store or instance that is asked for changes.
+    zones_out : tuple of str
+        Zones out of service, sorted.
+    targets : tuple of TargetView
+        Known targets, sorted by name.
+    instances : dict of str to str
+        Zones of the registered instances by their name.
+    flows : int
+        Flows that this instance opened and still remembers.
+    waiting : int
+        Openings that wait for a target.
+    changes : tuple of AuditEntry
+        Changes by operators, the oldest first.
+    """
+
+    name: str
+    zone: str
+    readiness: str
+    uptime_s: float
+    config_version: int
+    routes: int
+    belief_age_s: float | None
+    revision: int
+    source: str
+    zones_out: tuple[str, ...]
+    targets: tuple[TargetView, ...]
+    instances: dict[str, str]
+    flows: int
+    waiting: int
+    changes: tuple[AuditEntry, ...]
+
+
+def state_of(target: KnownTarget, now_s: float, *, is_suspected: bool) -> str:
+    """Return the state of a target in one word.
+
+    Parameters
+    ----------
+    target : KnownTarget
+        Target.
+    now_s : float
+        Current time in seconds.
+    is_suspected : bool
+        Whether openings that it did not answer keep new flows away from it.
+
+    Returns
+    -------
+    str
+        ``lapsed``, ``gone``, ``draining``, ``suspected``, ``cold`` or
+        ``in_use``.
+    """
+    if target.presence is not Presence.LISTED:
+        return target.presence.value
+    if target.record.is_draining:
+        return 'draining'
+    if is_suspected:
+        return 'suspected'
+    return 'cold' if target.is_cold(now_s) else 'in_use'
+
+
+class StatusPage:
+    """Renders the status of an entry process.
+
+    Parameters
+    ----------
+    process : EntryProcess
+        Process whose state is shown.
+    """
+
+    def __init__(self, process: Any) -> None:
+        self._process = process
+
+    def build(self, now_s: float) -> InstanceStatus:
+        """Return the status.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        InstanceStatus
+            State at this time.
+        """
+        process = self._process
+        registered = process.instances.registered()
+        return InstanceStatus(
+            name=process.record.name,
+            zone=process.record.zone,
+            readiness=process.readiness.value,
+            uptime_s=now_s - process.started_s,
+            config_version=process.routes.version,
+            routes=len(process.routes),
+            belief_age_s=process.follower.age_s(now_s),
+            revision=process.beliefs.mirror.revision,
+            source=process.follower.source_name,
+            zones_out=tuple(sorted(process.directory.zones_out)),
+            targets=self._targets(now_s),
+            instances={each.name: each.zone for each in registered},
+            flows=len(process.engine.flows),
+            waiting=len(process.engine.waiting),
+            changes=process.audit.entries(),
+        )
+
+    def render(self) -> bytes:
+        """Return the status as JSON."""
+        return msgspec.json.encode(self.build(time.monotonic()))
+
+    def _targets(self, now_s: float) -> tuple[TargetView, ...]:
+        process = self._process
+        views = [
+            TargetView(
+                name=target.name,
+                service=target.record.service,
+                zone=target.record.zone,
+                state=state_of(
+                    target,
+                    now_s,
+                    is_suspected=process.responsiveness.is_suspected(target),
+                ),
+                flows=process.loads.own_flows.get(target.token, 0),
+            )
+            for target in process.directory.targets()
+        ]
+        return tuple(sorted(views, key=lambda view: view.name))
--- /dev/null
+++ b/siskinproxy/entry/tests/test_bounds.py
@@ -0,0 +1,61 @@
+"""Times that follow from the platform's bounds."""
+
+import msgspec
+import pytest
+
+from siskinproxy.entry.bounds import (
+    directory_timing,
+    engine_timing,
+    follower_timing,
+)
+from siskinproxy.entry.follower import FollowerTiming
+from siskinproxy.entry.settings import EntryBounds
+
+BOUNDS = EntryBounds(
+    heartbeat_ms=1200,
+    drain_ms=3000,
+    config_ms=3000,
+    zone_out_ms=5000,
+    stop_s=6,
+    flow_life_s=60,
+    cold_factor=1.5,
+    cold_slack=5,
+)
+
+
+def with_bounds(**changes):
+    return msgspec.structs.replace(BOUNDS, **changes)
+
+
+@pytest.mark.parametrize('key', ['drain_ms', 'config_ms', 'zone_out_ms'])
+def test_each_bound_on_a_change_shortens_the_watch(key):
+    """Guards against a bound of the settings that changes nothing."""
+    timing = follower_timing(with_bounds(**{key: 1500}))
+    assert timing.watch_s == pytest.approx(0.5)
+    assert timing.stale_s == pytest.approx(0.85)
+
+
+@pytest.mark.parametrize('bound_ms', [3000, 1500, 600])
+def test_a_missed_watch_and_a_stale_source_fit_into_the_bound(bound_ms):
+    """Guards against a change that is in force too late."""
+    timing = follower_timing(with_bounds(drain_ms=bound_ms, config_ms=bound_ms))
+    lost_s = timing.watch_s + timing.peer_timeout_s + timing.retry_s
+    assert lost_s + timing.watch_s + timing.gather_s < bound_ms / 1000
+
+
+def test_a_wider_bound_keeps_the_usual_times():
+    """Guards against slower changes than before under a wide bound."""
+    wide = with_bounds(drain_ms=9000, config_ms=9000, zone_out_ms=9000)
+    assert follower_timing(wide) == FollowerTiming()
+
+
+def test_targets_of_a_returned_zone_get_two_heartbeats():
+    """Guards against full load on cold targets that are yet to say so."""
+    assert directory_timing(BOUNDS).turn_cold_s == pytest.approx(3.5)
+    slower = directory_timing(with_bounds(heartbeat_ms=4000))
+    assert slower.turn_cold_s == pytest.approx(9.1)
+
+
+def test_a_zone_taken_out_gets_nothing_before_the_bound():
+    """Guards against packets that leave just before the bound."""
+    assert engine_timing(BOUNDS).zone_out_s == pytest.approx(4.0)
--- a/siskinproxy/entry/tests/test_cold_targets.py
+++ b/siskinproxy/entry/tests/test_cold_targets.py
@@ -71,7 +71,7 @@
         process._cold_limit.allowance(KnownTarget(target(1)), 40)
     )
     item = StoredItem('op/config', b'', 1)
-    process._beliefs.learn(PrefixChanges((item,), 1, True), 0, source='test')
+    process.beliefs.learn(PrefixChanges((item,), 1, True), 0, source='test')
     house = gevent.spawn(process._keep_house)
     gevent.sleep(0.05)
     house.kill()
--- a/siskinproxy/entry/tests/test_follower.py
+++ b/siskinproxy/entry/tests/test_follower.py
@@ -225,6 +225,25 @@
         server.close()
 
 
+def test_an_instance_that_never_heard_from_the_store_is_no_source(store, make):
+    """Guards against an age of days for beliefs that were never confirmed."""
+    store.error = StoreUnavailableError('down')
+    first = make(store)
+    server = PeerServer(
+        Address('127.0.0.1', 0), first.follower.answer, first.events
+    )
+    server.start()
+    try:
+        peer = InstanceRecord('i-2', 'a', '127.0.0.1', server.port)
+        second = make(Store(), Source(peer))
+        second.wait_for(lambda: 'i-2' in second.selector.failed)
+    finally:
+        server.close()
+    chosen = second.events.named('source_chosen')
+    assert [pairs['age_ms'] for pairs in chosen] == [None]
+    assert second.follower.age_s(1e9) is None
+
+
 def test_a_silent_instance_is_given_up(store, make):
     """Guards against waiting for an instance that is frozen."""
     listener = gevent.socket.socket()
--- /dev/null
+++ b/siskinproxy/operators/fleetctl.py
@@ -0,0 +1,274 @@
+"""Command line tool for instances that follow a platform's store."""
+
+import sys
+from collections.abc import Callable, Iterable
+from contextlib import closing
+from pathlib import Path
+from typing import Annotated, Any, Final, NoReturn
+
+import msgspec
+from fire import decorators
+
+from siskinproxy.entry.config_check import (
+    compare_configurations,
+    find_faults,
+)
+from siskinproxy.entry.http_client import HttpClient
+from siskinproxy.entry.instances import INSTANCES_PREFIX, decode_instance
+from siskinproxy.entry.records import (
+    Address,
+    OperatorConfiguration,
+    Statement,
+    UnusableRecord,
+    parse_endpoint,
+)
+from siskinproxy.entry.status import STATUS_PATH, InstanceStatus
+from siskinproxy.entry.store import PrefixStore, StoredItem
+from siskinproxy.errors import SettingsError, StoreError
+from siskinproxy.operators.ctl import (
+    EXIT_DONE,
+    EXIT_REFUSED,
+    EXIT_UNKNOWN,
+    EXIT_UNREACHABLE,
+)
+from siskinproxy.operators.fleet_view import (
+    find_disagreements,
+    merge_audit,
+    render_audit,
+    render_statuses,
+)
+from siskinproxy.settings_file import (
+    ENDPOINT_FORM,
+    describe_key,
+    read_settings,
+)
+
+__all__ = ('FleetCommands', 'FleetPlatform', 'FleetSettings')
+
+#: Time for the connection to an instance and for its answer, in seconds: the
+#: page is built from memory, and an operator waits for the slowest one.
+CALL_TIMEOUT_S: Final = 2.0
+_OK: Final = 200
+_ARGUMENTS: Final = 'arguments'
+_MAX_PORT: Final = 65535
+
+
+class FleetPlatform(msgspec.Struct, frozen=True):
+    """How the tool reads the platform's store.
+
+    Parameters
+    ----------
+    open_store : callable
+        Returns the store at an address.
+    configuration_key : str
+        Key of the operators' configuration.
+    decode : callable
+        Returns what an item of the store states.
+    """
+
+    open_store: Callable[[Address], PrefixStore]
+    configuration_key: str
+    decode: Callable[[StoredItem], Statement]
+
+
+class FleetSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings file of the tool."""
+
+    store: Annotated[
+        str,
+        describe_key('address of the store', form=ENDPOINT_FORM),
+    ]
+    metrics_port: Annotated[
+        int,
+        describe_key(
+            'port of the metrics on every instance', ge=1, le=_MAX_PORT
+        ),
+    ]
+    instances: Annotated[
+        tuple[str, ...],
+        describe_key(
+            'metrics addresses to ask if the store does not list any',
+            form=ENDPOINT_FORM,
+        ),
+    ] = ()
+
+
+class FleetCommands:
+    """Inspect instances and check configurations.
+
+    A subclass names the platform.
+
+    Parameters
+    ----------
+    settings : str
+        TOML file with ``store``, ``metrics_port`` and ``instances``.
+    json : bool
+        Print one line of JSON for each result.
+    """
+
+    _platform: FleetPlatform
+
+    def __init__(self, settings: str, json: bool = False) -> None:
+        self._cfg = read_settings(settings, FleetSettings)
+        self._is_json = json
+
+    def status(self) -> NoReturn:
+        """Show what each instance believes, and which ones differ."""
+        statuses, unreachable = self._ask_instances()
+        found = find_disagreements(statuses, unreachable)
+        if self._is_json:
+            self._print_json(
+                {'instances': statuses, 'differences': found},
+            )
+        else:
+            self._print(render_statuses(statuses, found))
+        sys.exit(EXIT_UNKNOWN if found else EXIT_DONE)
+
+    @decorators.SetParseFn(str)
+    def audit(self, limit: str = '0') -> NoReturn:
+        """Show the changes that instances took over, the newest first."""
+        count = _number('limit', limit)
+        statuses, unreachable = self._ask_instances()
+        lines = merge_audit(statuses)
+        shown = lines[:count] if count else lines
+        if self._is_json:
+            self._print_json({'changes': shown, 'unreachable': unreachable})
+        else:
+            self._print(render_audit(shown))
+            self._print(
+                f'unreachable={address} reason="{reason}"'
+                for address, reason in sorted(unreachable.items())
+            )
+        sys.exit(EXIT_UNKNOWN if unreachable else EXIT_DONE)
+
+    @decorators.SetParseFn(str)
+    def check(self, file: str) -> NoReturn:
+        """Check a configuration against the rules and the one in the store."""
+        cfg = self._read_file(file)
+        faults = find_faults(cfg, self._read_in_force())
+        if self._is_json:
+            self._print_json({'faults': faults})
+        else:
+            self._print(
+                f'fault="{each.subject}" reason="{each.reason}"'
+                for each in faults
+            )
+        sys.exit(EXIT_REFUSED if faults else EXIT_DONE)
+
+    @decorators.SetParseFn(str)
+    def diff(self, file: str) -> NoReturn:
+        """Show what writing a configuration to the store would change."""
+        cfg = self._read_file(file)
+        in_force = self._read_in_force() or OperatorConfiguration(0, (), (), 0)
+        changes = compare_configurations(in_force, cfg)
+        if self._is_json:
+            self._print_json({'changes': changes})
+        else:
+            self._print(
+                f'{each.change}="{each.subject}" field={each.field or "-"} '
+                f'old={each.old or "-"} new={each.new or "-"}'
+                for each in changes
+            )
+        sys.exit(EXIT_DONE)
+
+    def _ask_instances(
+        self,
+    ) -> tuple[tuple[InstanceStatus, ...], dict[str, str]]:
+        statuses = []
+        unreachable = {}
+        for address in self._find_instances():
+            try:
+                statuses.append(_ask_status(address))
+            except (StoreError, msgspec.MsgspecError) as exc:
+                name = f'{address.host}:{address.port}'
+                unreachable[name] = f'{type(exc).__name__}: {exc}'
+        if not statuses:
+            asked = {'instances': f'{len(unreachable)} asked'} | unreachable
+            self._print_error('no instance answered', asked)
+            sys.exit(EXIT_UNREACHABLE)
+        return tuple(statuses), unreachable
+
+    def _find_instances(self) -> tuple[Address, ...]:
+        """Return the registered instances and those of the settings."""
+        found = [parse_endpoint(each) for each in self._cfg.instances]
+        try:
+            changes = self._open_and_read(INSTANCES_PREFIX)
+        except StoreError as exc:
+            # Instances answer without the store, so this is no failure.
+            self._print_error('store did not answer', {'store': str(exc)})
+            changes = ()
+        records = (decode_instance(item) for item in changes)
+        found += [
+            Address(record.host, self._cfg.metrics_port)
+            for record in records
+            if record is not None
+        ]
+        return tuple(dict.fromkeys(found))
+
+    def _open_and_read(self, prefix: str) -> tuple[StoredItem, ...]:
+        address = parse_endpoint(self._cfg.store)
+        with closing(self._platform.open_store(address)) as store:
+            answer = store.read(prefix)
+        return tuple(
+            item for item in answer.items if isinstance(item, StoredItem)
+        )
+
+    def _read_in_force(self) -> OperatorConfiguration | None:
+        key = self._platform.configuration_key
+        try:
+            items = self._open_and_read(key)
+        except StoreError as exc:
+            self._print_error('store did not answer', {'store': str(exc)})
+            sys.exit(EXIT_UNREACHABLE)
+        for item in items:
+            found = self._platform.decode(item)
+            if isinstance(found, OperatorConfiguration):
+                return found
+        return None
+
+    def _read_file(self, path: str) -> OperatorConfiguration:
+        try:
+            content = (
+                sys.stdin.buffer.read()
+                if path == '-'
+                else Path(path).read_bytes()
+            )
+        except OSError as exc:
+            reason = exc.strerror or type(exc).__name__
+            raise SettingsError(path, '-', 'readable file', reason) from exc
+        item = StoredItem(self._platform.configuration_key, content, 0)
+        found = self._platform.decode(item)
+        if isinstance(found, OperatorConfiguration):
+            return found
+        reason = found.reason if isinstance(found, UnusableRecord) else ''
+        self._print_error('no configuration', {path: reason})
+        sys.exit(EXIT_REFUSED)
+
+    def _print(self, lines: Iterable[str]) -> None:
+        for line in lines:
+            sys.stdout.write(f'{line}\n')
+        sys.stdout.flush()
+
+    def _print_json(self, found: Any) -> None:
+        sys.stdout.write(f'{msgspec.json.encode(found).decode()}\n')
+        sys.stdout.flush()
+
+    def _print_error(self, error: str, details: dict[str, str]) -> None:
+        for subject, reason in sorted(details.items()):
+            sys.stderr.write(
+                f'error="{error}" subject={subject} reason="{reason}"\n'
+            )
+
+
+def _ask_status(address: Address) -> InstanceStatus:
+    with closing(HttpClient(address, CALL_TIMEOUT_S)) as client:
+        answer = client.call('GET', STATUS_PATH)
+    if answer.status != _OK:
+        raise msgspec.DecodeError(f'status={answer.status}')
+    return msgspec.json.decode(answer.body, type=InstanceStatus)
+
+
+def _number(name: str, text: str) -> int:
+    if not (text.isascii() and text.isdecimal()):
+        raise SettingsError(_ARGUMENTS, name, 'integer of at least 0', text)
+    return int(text)
--- /dev/null
+++ b/siskinproxy/operators/tests/test_fleetctl.py
@@ -0,0 +1,345 @@
+"""Operators' tool against a stand-in of the store and entry processes."""
+
+import json
+import os
+import subprocess
+import sys
+
+import fire
+import gevent
+import msgspec
+import pytest
+
+from siskinproxy.entry.audit import AuditEntry
+from siskinproxy.entry.http_server import HttpAnswer, SmallHttpServer
+from siskinproxy.entry.instances import (
+    INSTANCES_PREFIX,
+    InstanceRecord,
+    encode_instance,
+)
+from siskinproxy.entry.records import Address
+from siskinproxy.entry.status import STATUS_PATH, InstanceStatus
+from siskinproxy.operators.fleet_view import find_disagreements, merge_audit
+from siskinproxy.platform.entry_main import SETTINGS_VARIABLE
+from siskinproxy.platform.fleet_main import PlatformFleetCommands
+from siskinproxy.settings_file import run_or_exit
+from siskinproxy.soak.records import configuration_item
+from siskinproxy.soak.run import _SETTINGS
+from siskinproxy.soak.store import SoakStore
+
+LIMIT_S = 20
+#: Network of its own for each worker of pytest.
+NET = f'127.{230 + (os.getpid() >> 8) % 10}.{os.getpid() & 255}'
+METRICS_PORT = 7724
+
+
+def status(name='i-1', **changes):
+    usual = InstanceStatus(
+        name=name,
+        zone='z1',
+        readiness='ready',
+        uptime_s=9.0,
+        config_version=4,
+        routes=2,
+        belief_age_s=0.3,
+        revision=7,
+        source='store',
+        zones_out=(),
+        targets=(),
+        instances={},
+        flows=1,
+        waiting=0,
+        changes=(),
+    )
+    return msgspec.structs.replace(usual, **changes)
+
+
+class Silent:
+    """Sink of events that nobody reads."""
+
+    def event(self, name, /, **pairs):
+        """Ignore an event."""
+
+
+class FakeInstance:
+    """Serves a status page and is registered in the store."""
+
+    def __init__(self, store, number, page):
+        self.page = page
+        self.address = Address(f'{NET}.{number}', METRICS_PORT)
+        self.server = SmallHttpServer(self.address, self.answer, Silent())
+        record = InstanceRecord(page.name, page.zone, self.address.host, 1)
+        store.put(f'{INSTANCES_PREFIX}{page.name}', encode_instance(record))
+
+    def answer(self, path):
+        assert path == STATUS_PATH
+        return HttpAnswer(200, msgspec.json.encode(self.page))
+
+
+class Site:
+    """Store, instances and the tool."""
+
+    def __init__(self, folder, capsys):
+        self.folder = folder
+        self.capsys = capsys
+        self.store = SoakStore()
+        self.store.start()
+        self.instances = []
+        self.write_settings()
+
+    def write_settings(self, instances=()):
+        self.settings = self.folder / 'fleet.toml'
+        store = self.store.address
+        self.settings.write_text(
+            f'store = "{store.host}:{store.port}"\n'
+            f'metrics_port = {METRICS_PORT}\n'
+            f'instances = {json.dumps(list(instances))}\n'
+        )
+
+    def add(self, page, *, is_up=True):
+        instance = FakeInstance(self.store, len(self.instances) + 1, page)
+        self.instances.append(instance)
+        if is_up:
+            instance.server.start()
+
+    def run(self, *args):
+        """Return exit code, output and errors of a command."""
+        command = [f'--settings={self.settings}', *args]
+        with gevent.Timeout(LIMIT_S), pytest.raises(SystemExit) as caught:
+            run_or_exit(fire.Fire, PlatformFleetCommands, command)
+        return caught.value.code, *self.capsys.readouterr()
+
+    def write_file(self, content):
+        path = self.folder / 'cfg.json'
+        path.write_bytes(content)
+        return str(path)
+
+    def close(self):
+        for instance in self.instances:
+            instance.server.close()
+        self.store.close()
+
+
+@pytest.fixture
+def site(tmp_path, capsys):
+    made = Site(tmp_path, capsys)
+    yield made
+    made.close()
+
+
+def test_equal_instances_are_shown_without_differences(site):
+    """Guards against an alarm about instances that agree."""
+    site.add(status('i-1'))
+    site.add(status('i-2'))
+    code, out, _ = site.run('status')
+    assert code == 0
+    assert [line.split()[0] for line in out.splitlines()] == [
+        'instance=i-1',
+        'instance=i-2',
+    ]
+
+
+@pytest.mark.parametrize(
+    ('changes', 'reason'),
+    [
+        ({'config_version': 3}, 'config 3 instead of 4'),
+        ({'zones_out': ('z2',)}, "zones out ('z2',)"),
+        ({'belief_age_s': 12.0}, 'beliefs are 12.0 s old'),
+        ({'belief_age_s': None}, 'never confirmed'),
+        ({'readiness': 'stopping'}, 'readiness is stopping'),
+    ],
+)
+def test_an_instance_that_differs_is_named(site, changes, reason):
+    """Guards against an instance that acts on old state unnoticed."""
+    site.add(status('i-1'))
+    site.add(status('i-2'))
+    site.add(status('i-3', **changes))
+    code, out, _ = site.run('status')
+    assert code == 5
+    (line,) = (each for each in out.splitlines() if 'differs' in each)
+    assert 'differs=i-3' in line
+    assert reason in line
+
+
+def test_an_instance_that_does_not_answer_is_named(site):
+    """Guards against a status that leaves out a dead instance."""
+    site.add(status('i-1'))
+    site.add(status('i-2'), is_up=False)
+    code, out, _ = site.run('status')
+    assert code == 5
+    assert f'differs={NET}.2:{METRICS_PORT}' in out
+
+
+def test_status_needs_no_store(site):
+    """Guards against a tool that is blind during an outage of the store."""
+    site.add(status('i-1'))
+    site.write_settings([f'{NET}.1:{METRICS_PORT}'])
+    site.store.mode = 'refuse'
+    code, out, err = site.run('status')
+    assert code == 0
+    assert 'instance=i-1' in out
+    assert 'store did not answer' in err
+
+
+def test_nothing_reachable_has_an_exit_code_of_its_own(site):
+    """Guards against silence that looks like agreement."""
+    code, out, err = site.run('status')
+    assert (code, out) == (6, '')
+    assert 'error="no instance answered" subject=instances' in err
+
+
+def test_audit_joins_what_instances_saw(site):
+    """Guards against a change that is listed once for each instance."""
+    first = AuditEntry(100.0, 'config_applied', '4', 'store')
+    later = AuditEntry(100.8, 'config_applied', '4', 'i-1')
+    again = AuditEntry(300.0, 'zone_taken_out', 'z1', 'store')
+    site.add(status('i-1', changes=(first, again)))
+    site.add(status('i-2', changes=(later,)))
+    code, out, _ = site.run('audit')
+    assert code == 0
+    zone, config = out.splitlines()
+    assert 'change=zone_taken_out subject="z1" instances=1' in zone
+    assert 'change=config_applied subject="4" instances=2' in config
+    assert config.endswith('lasted_s=0.800')
+    assert len(site.run('audit', '--limit=1')[1].splitlines()) == 1
+    shown = json.loads(site.run('audit', '--json')[1])
+    assert shown['changes'][1]['instances'] == ['i-1', 'i-2']
+
+
+def test_a_zone_taken_out_twice_is_two_changes():
+    """Guards against two changes that are shown as one long one."""
+    entries = (
+        AuditEntry(100.0, 'zone_taken_out', 'z1', 'store'),
+        AuditEntry(200.0, 'zone_taken_out', 'z1', 'store'),
+    )
+    lines = merge_audit([status(changes=entries)])
+    assert [line.unix_s for line in lines] == [200.0, 100.0]
+
+
+def test_no_instances_differ_from_none():
+    """Guards against a failure when nothing answered."""
+    assert find_disagreements((), {}) == ()
+
+
+def configuration(version, **edits):
+    entry = json.loads(configuration_item(version)[1])
+    entry.update(edits)
+    return json.dumps(entry).encode()
+
+
+def route(**edits):
+    return json.loads(configuration_item(1)[1])['routes'][0] | edits
+
+
+@pytest.mark.parametrize(
+    ('content', 'reason'),
+    [
+        (configuration(4), 'version=4 is not above 4'),
+        (configuration(5, routes=[route(), route()]), 'stands 2 times'),
+        (configuration(5, routes=[route(service='x')]), "unknown service 'x'"),
+        (
+            configuration(
+                5, routes=[route(split=[{'service': 'desk', 'weight': 0}])]
+            ),
+            'weights are not above 0',
+        ),
+        (configuration(5, routes=[route(timeout_ms=0)]), 'deadline'),
+        (
+            configuration(5, services=[{'name': 'desk', 'warmup_s': 9}]),
+            'no rate is given',
+        ),
+        (b'{"version": "4"}', 'ValidationError'),
+        (b'not JSON', 'DecodeError'),
+    ],
+)
+def test_check_refuses_a_configuration_that_would_not_work(
+    site, content, reason
+):
+    """Guards against a fault that only shows once callers are refused."""
+    site.store.put(*configuration_item(4))
+    code, out, err = site.run('check', site.write_file(content))
+    assert code == 3
+    assert reason in out + err
+
+
+def test_check_accepts_a_newer_configuration(site):
+    """Guards against a check that refuses everything."""
+    site.store.put(*configuration_item(4))
+    path = site.write_file(configuration(5))
+    assert site.run('check', path)[:2] == (0, '')
+
+
+def test_diff_shows_what_a_configuration_changes(site):
+    """Guards against a change that an operator did not mean."""
+    site.store.put(*configuration_item(4))
+    routes = [route(timeout_ms=2000), route(name='new', prefix='/444/')]
+    path = site.write_file(configuration(5, routes=routes))
+    code, out, _ = site.run('diff', path)
+    assert code == 0
+    assert out.splitlines() == [
+        'added="route new" field=- old=- new=-',
+        'removed="route r-archive" field=- old=- new=-',
+        'changed="route r-desk" field=deadline_s old=4.0 new=2.0',
+    ]
+
+
+def test_check_and_diff_need_the_store(site):
+    """Guards against a check against nothing that looks like success."""
+    site.store.mode = 'refuse'
+    path = site.write_file(configuration(5))
+    assert site.run('check', path)[0] == 6
+    assert site.run('diff', path)[0] == 6
+
+
+@pytest.mark.parametrize(
+    'arguments', [('audit', '--limit=x'), ('check', '/nonexistent')]
+)
+def test_wrong_arguments_are_named(site, arguments):
+    """Guards against a wrong argument that is taken for something else."""
+    site.add(status('i-1'))
+    code, _, err = site.run(*arguments)
+    assert code == 2
+    assert 'error=settings' in err
+
+
+def test_a_real_process_shows_what_it_believes(site, tmp_path):
+    """Guards against a page that shows other state than the process uses."""
+    site.store.put(*configuration_item(4))
+    host = f'{NET}.99'
+    path = tmp_path / 'entry.toml'
+    path.write_text(
+        _SETTINGS.format(
+            number=7,
+            host=host,
+            first=host,
+            packet=7721,
+            ready=7722,
+            peer=7723,
+            metrics=METRICS_PORT,
+            store_port=site.store.address.port,
+        )
+    )
+    with (tmp_path / 'log').open('wb') as log:
+        popen = subprocess.Popen(
+            [sys.executable, '-m', 'siskinproxy.platform.entry_main'],
+            env=os.environ | {SETTINGS_VARIABLE: str(path)},
+            stdout=log,
+            stderr=log,
+        )
+    try:
+        with gevent.Timeout(LIMIT_S):
+            while b'process_ready' not in (tmp_path / 'log').read_bytes():
+                gevent.sleep(0.05)
+            while not any('i-7' in key for key in site.store.items):
+                gevent.sleep(0.05)
+        code, out, _ = site.run('status', '--json')
+        site.store.put(*configuration_item(6))
+        gevent.sleep(1)
+        audit = site.run('audit')[1]
+    finally:
+        popen.kill()
+        popen.wait(LIMIT_S)
+    (shown,) = json.loads(out)['instances']
+    assert (code, shown['name'], shown['config_version']) == (0, 'i-7', 4)
+    assert shown['belief_age_s'] < 3
+    assert 'change=config_applied subject="6" instances=1' in audit
--- a/siskinproxy/platform/entry_main.py
+++ b/siskinproxy/platform/entry_main.py
@@ -4,7 +4,8 @@
 from contextlib import closing
 
 from siskinproxy.entry.beliefs import Dialect
-from siskinproxy.entry.process import EntryProcess, parse_endpoint
+from siskinproxy.entry.process import EntryProcess
+from siskinproxy.entry.records import parse_endpoint
 from siskinproxy.entry.settings import EntrySettings
 from siskinproxy.platform.http_store import HttpStore
 from siskinproxy.platform.packets import PlatformCodec
