--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOAK_SEEDS ?= 1
 PROTOS := $(wildcard siskinproxy/*/proto/*.proto)
 
-.PHONY: setup test lint format unit demo measure bench capacity soak proto clean
+.PHONY: setup test lint format unit demo measure experiment bench capacity soak proto clean
 
 setup: $(VENV)/.installed
 
@@ -36,6 +36,9 @@
 measure: setup
 	$(BIN)/python -m siskinproxy.measure.compare --seed $(SEED)
 
+experiment: setup
+	$(BIN)/python -m siskinproxy.emulator.run --seed $(SEED)
+
 bench: setup
 	$(BIN)/python -m siskinproxy.measure.bench
 
