--- a/siskinproxy/measure/entry_costs.py
+++ b/siskinproxy/measure/entry_costs.py
@@ -6,6 +6,7 @@
 
 import random
 import sys
+import tempfile
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator
@@ -17,6 +18,7 @@
 from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
 from siskinproxy.entry.directory import TargetDirectory
 from siskinproxy.entry.engine import EntryEngine
+from siskinproxy.entry.event_log import BoundedLog
 from siskinproxy.entry.load_view import LoadReport, LoadView, decode_report
 from siskinproxy.entry.mirror import StoreMirror
 from siskinproxy.entry.packets import ACK, FIN, SYN, PacketHead
@@ -34,12 +36,20 @@
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.store import PrefixChanges, StoredItem
 
-__all__ = ('EntryCost', 'main', 'measure_engine', 'measure_reports')
+__all__ = (
+    'EntryCost',
+    'main',
+    'measure_engine',
+    'measure_log',
+    'measure_reports',
+)
 
 _FLOWS: Final = 2000
 _REPORTS: Final = 500
 _VIRTUAL: Final = bytes((198, 18, 0, 1, 1, 187))
 _ITEM_BYTES: Final = 230
+_LOG_SECONDS: Final = 50
+_FLOWS_PER_SLOW_ONE: Final = 10
 
 
 class EntryCost(msgspec.Struct, frozen=True):
@@ -253,8 +263,64 @@
     yield EntryCost('route_applied', size, elapsed_s * 1e6 / size)
 
 
+def measure_log(flows_per_s: int) -> Iterator[EntryCost]:
+    """Yield the cost of logging during a second with new flows.
+
+    Each flow has a line when it is opened, and a tenth of them one because
+    they are slow, as on a day with trouble.
+
+    Parameters
+    ----------
+    flows_per_s : int
+        New flows of one instance in a second.
+
+    Yields
+    ------
+    EntryCost
+        Processor time and bytes written in a second, and lines in a second.
+    """
+    events = ['flow_opened'] * flows_per_s
+    events += ['flow_slow'] * (flows_per_s // _FLOWS_PER_SLOW_ONE)
+    second = iter(range(_LOG_SECONDS * len(events)))
+    with tempfile.TemporaryFile() as kept:
+        log = BoundedLog(
+            'entry',
+            kept.fileno(),
+            lambda: float(next(second) // len(events)),
+            instance='i-1',
+        )
+        started_s = time.process_time()
+        for _ in range(_LOG_SECONDS):
+            for name in events:
+                log.event(
+                    name,
+                    flow='100.64.0.7:40001',
+                    route='r-desk',
+                    target='i-9ec4913bdc',
+                    reason='least_loaded',
+                    copy=0,
+                    waited_ms=0,
+                    config=4,
+                )
+            log.flush()
+        elapsed_s = time.process_time() - started_s
+        written = kept.tell()
+        kept.seek(0)
+        lines = kept.read().count(b'\n')
+    yield EntryCost(
+        'log_second',
+        flows_per_s,
+        microseconds=elapsed_s * 1e6 / _LOG_SECONDS,
+        bytes=written / _LOG_SECONDS,
+    )
+    yield EntryCost('log_lines', flows_per_s, bytes=lines / _LOG_SECONDS)
+
+
 def _run() -> None:
     """Print all costs."""
+    for flows_per_s in (40, 400):
+        for cost in measure_log(flows_per_s):
+            _print(cost)
     for targets in (4, 16, 64):
         for cost in measure_engine(targets):
             _print(cost)
--- a/siskinproxy/measure/tests/test_entry_costs.py
+++ b/siskinproxy/measure/tests/test_entry_costs.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from siskinproxy.entry.event_log import LINES_PER_S
 from siskinproxy.measure.entry_costs import (
     measure_beliefs,
     measure_engine,
+    measure_log,
     measure_reports,
 )
 
@@ -17,9 +19,10 @@
             ['flow', 'opening', 'established_packet', 'closing_packet'],
         ),
         (lambda: measure_reports(10), ['report', 'report_heard']),
+        (lambda: measure_log(40), ['log_second', 'log_lines']),
         (lambda: measure_beliefs(50), ['target_known', 'route_applied']),
     ],
-    ids=['engine', 'reports', 'beliefs'],
+    ids=['engine', 'reports', 'log', 'beliefs'],
 )
 def test_every_cost_is_measured(measured, names):
     """Guards against a page of figures that the command cannot produce."""
@@ -28,6 +31,16 @@
     assert all(cost.microseconds > 0 or cost.bytes > 0 for cost in costs)
 
 
+def test_lines_stay_bounded_at_ten_times_the_load():
+    """Guards against a log that grows with the load."""
+    lines = [
+        next(cost for cost in measure_log(rate) if cost.what == 'log_lines')
+        for rate in (400, 4000)
+    ]
+    # Two kinds of event, each with its bound and a line on what was left out.
+    assert all(cost.bytes <= 2 * (LINES_PER_S + 1) for cost in lines)
+
+
 def test_memory_of_a_node_at_the_target_size():
     """Guards against flows that exceed 128 MB at 13,500 flows a node."""
     costs = {cost.what: cost for cost in measure_engine(16)}
