--- a/siskinproxy/entry/bounds.py
+++ b/siskinproxy/entry/bounds.py
@@ -9,6 +9,7 @@
 from siskinproxy.entry.settings import EntryBounds
 
 __all__ = (
+    'LEAST_BOUND_S',
     'USUAL_BOUND_S',
     'cold_bounds',
     'directory_timing',
@@ -20,6 +21,9 @@
 #: seconds: that of the users' smaller deployments. Longer times under a wider
 #: bound would save calls to the store, which cost little.
 USUAL_BOUND_S: Final = 3.0
+#: Bound below which the times do not shrink further, in seconds. The store
+#: answers in milliseconds, but each instance would ask it without a pause.
+LEAST_BOUND_S: Final = 0.5
 #: Announcements of a target after which its state is known: the first may
 #: have left just before its zone returned.
 HEARTBEATS_TO_WAIT: Final = 2
@@ -34,7 +38,7 @@
 
     A change may miss a watch, a call that fails and another source that
     turns out to be stale. The usual times fit into `USUAL_BOUND_S`; they are
-    shorter in proportion for a tighter bound.
+    shorter in proportion for a tighter bound down to `LEAST_BOUND_S`.
 
     Parameters
     ----------
@@ -47,7 +51,8 @@
         Times.
     """
     tightest_ms = min(bounds.drain_ms, bounds.config_ms, bounds.zone_out_ms)
-    share = min(tightest_ms / _MS_PER_S / USUAL_BOUND_S, 1)
+    bound_s = max(tightest_ms / _MS_PER_S, LEAST_BOUND_S)
+    share = min(bound_s / USUAL_BOUND_S, 1)
     usual = FollowerTiming()
     return FollowerTiming(
         watch_s=share * usual.watch_s,
--- a/siskinproxy/entry/http_client.py
+++ b/siskinproxy/entry/http_client.py
@@ -11,6 +11,7 @@
 from gevent import socket
 
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.tcp import connect
 from siskinproxy.errors import (
     StoreError,
     StoreOutcomeUnknownError,
@@ -139,7 +140,11 @@
             self._idle.pop().close()
 
     def _exchange(self, request: bytes, timeout_s: float) -> HttpResponse:
-        conn = self._idle.pop() if self._idle else self._connect()
+        conn = (
+            self._idle.pop()
+            if self._idle
+            else connect(self._address, self._timeout_s)
+        )
         try:
             conn.settimeout(timeout_s)
             conn.sendall(request)
@@ -153,18 +158,6 @@
             conn.close()
         return response
 
-    def _connect(self) -> socket.socket:
-        # Without `create_connection`, which starts a thread for the resolver.
-        conn = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            conn.settimeout(self._timeout_s)
-            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            conn.connect(self._address)
-        except BaseException:
-            conn.close()
-            raise
-        return conn
-
 
 def _receive(conn: socket.socket) -> tuple[HttpResponse, bool]:
     receiver = _Receiver()
--- a/siskinproxy/entry/http_server.py
+++ b/siskinproxy/entry/http_server.py
@@ -9,6 +9,7 @@
 from gevent import socket
 
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.tcp import listen
 
 __all__ = ('HttpAnswer', 'SmallHttpServer')
 
@@ -93,11 +94,7 @@
 
     def start(self) -> None:
         """Listen and answer in greenlets."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(self._address)
-        listener.listen(_BACKLOG)
-        self._listener = listener
+        self._listener = listen(self._address, _BACKLOG)
         self._greenlet = gevent.spawn(self._accept)
 
     def close(self) -> None:
--- a/siskinproxy/entry/peer_link.py
+++ b/siskinproxy/entry/peer_link.py
@@ -16,6 +16,7 @@
     encode_frame,
 )
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.tcp import connect, listen
 from siskinproxy.errors import LinkFormatError, StoreUnavailableError
 
 __all__ = ('PeerClient', 'PeerServer')
@@ -52,7 +53,7 @@
         """
         try:
             if self._conn is None:
-                self._conn = self._connect()
+                self._conn = connect(self._address, self._timeout_s)
             self._conn.settimeout(self._timeout_s + query.wait_ms / 1000)
             self._conn.sendall(encode_frame(query))
             return decode_answer(_receive_frame(self._conn))
@@ -67,17 +68,6 @@
             self._conn.close()
             self._conn = None
 
-    def _connect(self) -> socket.socket:
-        conn = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            conn.settimeout(self._timeout_s)
-            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            conn.connect(self._address)
-        except BaseException:
-            conn.close()
-            raise
-        return conn
-
 
 class PeerServer:
     """Answers the queries of other instances.
@@ -111,11 +101,7 @@
 
     def start(self) -> None:
         """Listen and answer in greenlets."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(self._address)
-        listener.listen(_BACKLOG)
-        self._listener = listener
+        self._listener = listen(self._address, _BACKLOG)
         self._spawn(self._accept)
 
     def close(self) -> None:
--- a/siskinproxy/entry/tests/test_bounds.py
+++ b/siskinproxy/entry/tests/test_bounds.py
@@ -43,6 +43,14 @@
     assert lost_s + timing.watch_s + timing.gather_s < bound_ms / 1000
 
 
+@pytest.mark.parametrize('key', ['drain_ms', 'config_ms', 'zone_out_ms'])
+def test_a_bound_of_zero_leaves_time_between_calls(key):
+    """Guards against a follower that asks the store without a pause."""
+    timing = follower_timing(with_bounds(**{key: 0}))
+    assert timing.watch_s >= 0.1
+    assert timing.retry_s >= 0.01
+
+
 def test_a_wider_bound_keeps_the_usual_times():
     """Guards against slower changes than before under a wide bound."""
     wide = with_bounds(drain_ms=9000, config_ms=9000, zone_out_ms=9000)
--- a/siskinproxy/entry/tests/test_process.py
+++ b/siskinproxy/entry/tests/test_process.py
@@ -10,7 +10,7 @@
 import pytest
 
 from siskinproxy.platform.entry_main import SETTINGS_VARIABLE
-from siskinproxy.soak.run import _SETTINGS
+from siskinproxy.soak.run import SETTINGS_TEMPLATE
 
 LIMIT_S = 20
 #: Address of its own for each worker of pytest, so that they can run together.
@@ -18,7 +18,7 @@
 
 
 def write_settings(path, **changes):
-    text = _SETTINGS.format(
+    text = SETTINGS_TEMPLATE.format(
         number=1,
         host=HOST,
         first=HOST,
--- a/siskinproxy/operators/tests/test_fleetctl.py
+++ b/siskinproxy/operators/tests/test_fleetctl.py
@@ -24,7 +24,7 @@
 from siskinproxy.platform.fleet_main import PlatformFleetCommands
 from siskinproxy.settings_file import run_or_exit
 from siskinproxy.soak.records import configuration_item
-from siskinproxy.soak.run import _SETTINGS
+from siskinproxy.soak.run import SETTINGS_TEMPLATE
 from siskinproxy.soak.store import SoakStore
 
 LIMIT_S = 20
@@ -308,7 +308,7 @@
     host = f'{NET}.99'
     path = tmp_path / 'entry.toml'
     path.write_text(
-        _SETTINGS.format(
+        SETTINGS_TEMPLATE.format(
             number=7,
             host=host,
             first=host,
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -53,7 +53,7 @@
     """An item, or its removal."""
 
     key: str
-    rev: int
+    revision: int = msgspec.field(name='rev')
     value: bytes = b''  # base64 text on the wire
     removed: bool = False
 
@@ -62,7 +62,8 @@
     """A page of items."""
 
     items: tuple[ItemBody, ...]
-    has_more: bool
+    #: Whether another page follows.
+    is_cut: bool = msgspec.field(name='has_more')
     revision: int = msgspec.field(name='current_rev')
 
 
@@ -127,7 +128,7 @@
         page = self._page(path)
         items = list(page.items)
         revision = page.revision
-        while page.has_more:
+        while page.is_cut:
             page = self._page(f'{path}&after={quote(items[-1].key)}')
             items.extend(page.items)
         decoded = tuple(_decode(each) for each in items)
@@ -213,5 +214,5 @@
 
 def _decode(item: ItemBody) -> StoredItem | ItemRemoved:
     if item.removed:
-        return ItemRemoved(item.key, item.rev)
-    return StoredItem(item.key, item.value, item.rev)
+        return ItemRemoved(item.key, item.revision)
+    return StoredItem(item.key, item.value, item.revision)
--- a/siskinproxy/soak/run.py
+++ b/siskinproxy/soak/run.py
@@ -36,7 +36,7 @@
 from siskinproxy.soak.store import SoakStore
 from siskinproxy.soak.target import SoakTarget
 
-__all__ = ('Soak', 'SoakReport', 'main')
+__all__ = ('SETTINGS_TEMPLATE', 'Soak', 'SoakReport', 'main')
 
 _INSTANCES: Final = 3
 _TARGETS: Final = 6
@@ -55,7 +55,7 @@
 _RECOVERY_S: Final = 12.0
 _CALM_REQUESTS: Final = 60
 
-_SETTINGS: Final = """
+SETTINGS_TEMPLATE: Final = """
 [instance]
 name = "i-{number}"
 zone = "z{number}"
@@ -114,7 +114,7 @@
         self._path = folder / f'i-{number}.toml'
         self._log = folder / f'i-{number}.log'
         self._path.write_text(
-            _SETTINGS.format(
+            SETTINGS_TEMPLATE.format(
                 number=number,
                 host=self.host,
                 first=_instance_host(net, 0),
--- a/siskinproxy/soak/store.py
+++ b/siskinproxy/soak/store.py
@@ -153,7 +153,7 @@
         found = tuple(
             item for key, item in self.items.items() if key.startswith(prefix)
         )
-        return 200, RangeBody(found, has_more=False, revision=self.revision)
+        return 200, RangeBody(found, is_cut=False, revision=self.revision)
 
     def _watch(self, query: dict[str, str]) -> _Answer:
         after = int(query['after'])
@@ -161,7 +161,7 @@
         while waited_s < int(query['wait_ms']) / 1000:
             if after < self.history_from:
                 return 410, {}
-            found = tuple(each for each in self.events if each.rev > after)
+            found = tuple(each for each in self.events if each.revision > after)
             if found:
                 return 200, EventsBody(found, self.revision)
             gevent.sleep(_POLL_S)
