Give processes that tests start the default action of SIGINT

Load was not the cause, although the entry in KNOWN-RED.txt named it.

Change: conftest.py installs the usual handler, which new programs do not inherit.

Ruled out: `timeout` in front of pytest hides the effect, since it sets the signal again.

Conclusion: the verdict no longer depends on how pytest is started.

--- a/conftest.py
+++ b/conftest.py
@@ -1,8 +1,13 @@
 """Passes over the tests listed in KNOWN-RED.txt, and prints them.
 
 ``--known-red`` runs them as well.
+
+Processes that tests start get the default action of SIGINT. A shell that
+starts pytest in the background makes it ignore SIGINT, which its children
+would inherit, so that tests which interrupt a process would wait for ever.
 """
 
+import signal
 from pathlib import Path
 
 _LIST = Path(__file__).parent / 'KNOWN-RED.txt'
@@ -19,6 +24,11 @@
     parser.addoption('--known-red', action='store_true')
 
 
+def pytest_configure(config):
+    # A handler, unlike an ignored signal, is not passed on to new programs.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+
+
 def pytest_collection_modifyitems(config, items):
     if config.getoption('--known-red'):
         return
