Show the store's epoch in logs, metrics and status

Change: the HTTP client keeps response headers, the adapter decodes Store-Era into the epoch of an answer, the mirror records the latest one. New event store_restored with known and new epoch and revision, also in the audit trail; epoch in source_chosen; two gauges; epoch and revision in /status and siskinproxy-fleet status. No decision uses the epoch yet.

Tests: answers name the history of their revisions, a restore is logged; both fail without the change (no attribute epoch, no such event).

--- a/siskinproxy/entry/audit.py
+++ b/siskinproxy/entry/audit.py
@@ -1,4 +1,7 @@
-"""Audit trail: operators' changes that an instance applied or rejected."""
+"""Audit trail: operators' changes that an instance applied or rejected.
+
+It also holds the restores of the store, which may undo such changes there.
+"""
 
 import time
 from collections import deque
@@ -22,6 +25,7 @@
     'config_rejected': 'version',
     'zone_taken_out': 'zone',
     'zone_returned': 'zone',
+    'store_restored': 'epoch',
 }
 
 
@@ -35,8 +39,8 @@
     change : str
         Name of the event in the log.
     subject : str
-        What was changed: the version of the configuration, or a zone. For
-        reloaded settings the sections that need a restart, for rejected ones
+        What was changed: the version of the configuration, a zone, or the
+        epoch of the store after it was restored. For reloaded settings the sections that need a restart, for rejected ones
         the error.
     source : str
         Store or instance from which the change was learned; empty for a
--- a/siskinproxy/entry/cluster_state.py
+++ b/siskinproxy/entry/cluster_state.py
@@ -195,6 +195,8 @@
             Number of items that differ from before.
         """
         origin = _Origin(source, may_have_lapsed)
+        if changes.epoch > self.mirror.epoch:
+            self._report_epoch(changes, source)
         found = self.mirror.apply(changes)
         for change in found:
             if change.item is None:
@@ -203,6 +205,20 @@
                 self._apply_item(change.key, change.item, now_s, origin)
         return len(found)
 
+    def _report_epoch(self, changes: PrefixChanges, source: str) -> None:
+        """Report that the store was restored, unless this is the first list."""
+        mirror = self.mirror
+        if not mirror.revision:
+            return
+        self._events.event(
+            'store_restored',
+            epoch=changes.epoch,
+            revision=changes.revision,
+            known_epoch=mirror.epoch,
+            known_revision=mirror.revision,
+            source=source,
+        )
+
     def _apply_item(
         self, key: str, item: StoredItem, now_s: float, origin: _Origin
     ) -> None:
--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -304,6 +304,7 @@
                 'source_chosen',
                 source=source.name,
                 age_ms=_milliseconds(age_s),
+                epoch=self._cluster_state.mirror.epoch,
                 revision=self._cluster_state.mirror.revision,
             )
             self._source = source
--- a/siskinproxy/entry/http_client.py
+++ b/siskinproxy/entry/http_client.py
@@ -32,10 +32,13 @@
         HTTP status code.
     body : bytes
         Response body; empty if there is none.
+    headers : dict of str to str
+        Headers by their names in lower case.
     """
 
     status: int
     body: bytes
+    headers: dict[str, str] = {}
 
 
 class _ResponseCallbacks:
@@ -43,6 +46,7 @@
 
     def __init__(self) -> None:
         self.parts: list[bytes] = []
+        self.headers: dict[str, str] = {}
         self.is_complete = False
         self.has_surplus = False
         self.status = 0
@@ -53,6 +57,11 @@
         # A second message in the same bytes was not asked for.
         self.has_surplus = self.is_complete
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.has_surplus:
+            key = name.decode('latin-1').lower()
+            self.headers[key] = value.decode('latin-1')
+
     def on_body(self, part: bytes) -> None:
         if not self.has_surplus:
             self.parts.append(part)
@@ -191,7 +200,9 @@
                 'server closed the connection before the end of the response'
             )
         parser.feed_data(received)
-    response = HttpResponse(callbacks.status, b''.join(callbacks.parts))
+    response = HttpResponse(
+        callbacks.status, b''.join(callbacks.parts), callbacks.headers
+    )
     return response, callbacks.keep_alive and not callbacks.has_surplus
 
 
--- a/siskinproxy/entry/metrics.py
+++ b/siskinproxy/entry/metrics.py
@@ -99,6 +99,18 @@
         'Entries of the store, and parts of the configuration, that are not in '
         'use as written.',
     ),
+    MetricDescription(
+        'siskinproxy_entry_store_epoch',
+        'gauge',
+        'Epoch of the store whose state is applied; it rises each time the '
+        'store is restored from a copy.',
+    ),
+    MetricDescription(
+        'siskinproxy_entry_store_revision',
+        'gauge',
+        'Revision of the store, within its epoch, up to which no change is '
+        'missing.',
+    ),
     MetricDescription(
         'siskinproxy_entry_belief_age_seconds',
         'gauge',
@@ -192,6 +204,10 @@
             'siskinproxy_entry_unusable_entries': len(
                 process.cluster_state.unusable()
             ),
+            'siskinproxy_entry_store_epoch': process.cluster_state.mirror.epoch,
+            'siskinproxy_entry_store_revision': (
+                process.cluster_state.mirror.revision
+            ),
             'siskinproxy_entry_belief_age_seconds': _age_or_infinity(
                 process.follower.age_s(now_s)
             ),
--- a/siskinproxy/entry/mirror.py
+++ b/siskinproxy/entry/mirror.py
@@ -45,11 +45,14 @@
         Items by key.
     revision : int
         Revision up to which no change is missing; 0 before the first answer.
+    epoch : int
+        Latest epoch of the store that an answer stated.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
+        self.epoch = 0
         #: Revisions of removals by key, so that an answer from before a removal
         #: does not restore the item.
         self._removal_revisions: dict[str, int] = {}
@@ -105,6 +108,7 @@
             # A late answer has a lower revision than the removals forgotten.
             self._forget_removals(max(self.revision, changes.revision))
         self.revision = max(self.revision, changes.revision)
+        self.epoch = max(self.epoch, changes.epoch)
         return tuple(found)
 
     def _forget_removals(self, revision: int) -> None:
--- a/siskinproxy/entry/status.py
+++ b/siskinproxy/entry/status.py
@@ -85,6 +85,9 @@
         Changes by operators, the oldest first.
     unusable : tuple of UnusableEntry
         Entries of the store that are not in use as written.
+    epoch : int
+        Epoch of the store to which the revision belongs; it rises each time the
+        store is restored from a copy.
     """
 
     name: str
@@ -103,6 +106,7 @@
     waiting: int
     changes: tuple[AuditEntry, ...]
     unusable: tuple[UnusableEntry, ...] = ()
+    epoch: int = 0
 
 
 def state_of(target: KnownTarget, now_s: float, *, is_suspected: bool) -> str:
@@ -178,6 +182,7 @@
             waiting=len(process.engine.waiting),
             changes=process.audit.entries(),
             unusable=process.cluster_state.unusable(),
+            epoch=process.cluster_state.mirror.epoch,
         )
 
     def render(self) -> bytes:
--- a/siskinproxy/entry/store.py
+++ b/siskinproxy/entry/store.py
@@ -61,11 +61,16 @@
     is_complete : bool
         Whether these are all items, so that other keys do not exist; else
         they are the changes since an earlier revision.
+    epoch : int
+        History of the store to which the revisions belong. It rises each time
+        the store is restored from a copy: changes after the copy are lost then,
+        and their revisions are given out again.
     """
 
     items: tuple[StoredItem | ItemRemoved, ...]
     revision: int
     is_complete: bool
+    epoch: int = 0
 
 
 class PrefixStore(Protocol):
--- a/siskinproxy/entry/tests/test_follower.py
+++ b/siskinproxy/entry/tests/test_follower.py
@@ -51,6 +51,7 @@
         self.history_from = 0
         self.error = None
         self.calls = []
+        self.epoch = 1
 
     def put(self, key, value, lease_id=0):
         self.revision += 1
@@ -63,7 +64,9 @@
 
     def read(self, prefix):
         self._call('read')
-        return PrefixChanges(tuple(self.items.values()), self.revision, True)
+        return PrefixChanges(
+            tuple(self.items.values()), self.revision, True, self.epoch
+        )
 
     def watch(self, prefix, after_revision, timeout_s):
         self._call('watch')
@@ -75,7 +78,7 @@
             for item in self.items.values()
             if item.revision > after_revision
         )
-        return PrefixChanges(found, self.revision, False)
+        return PrefixChanges(found, self.revision, False, self.epoch)
 
     def _call(self, kind):
         self.calls.append(kind)
@@ -183,6 +186,18 @@
     assert found.events.named('store_history_lost')
 
 
+def test_a_restore_of_the_store_is_logged(store, make_follower):
+    """Guards against a restored store that leaves no trace in the log."""
+    found = make_follower(store)
+    found.wait_for(lambda: found.names == {'t-1'})
+    known = found.cluster_state.mirror.revision
+    store.epoch += 1
+    found.wait_for(lambda: found.events.named('store_restored'))
+    restored = found.events.named('store_restored')[0]
+    assert restored['epoch'] == restored['known_epoch'] + 1
+    assert restored['known_revision'] == known
+
+
 @pytest.mark.parametrize(
     'error',
     [StoreUnavailableError('status=503'), StoreRateLimitError('status=429')],
--- a/siskinproxy/operators/fleet_view.py
+++ b/siskinproxy/operators/fleet_view.py
@@ -166,6 +166,7 @@
             f'instance={each.name} zone={each.zone} '
             f'readiness={each.readiness} config={each.config_version} '
             f'belief_age_s={_format_age(each)} source={each.source} '
+            f'epoch={each.epoch} revision={each.revision} '
             f'zones_out={",".join(each.zones_out) or "-"} '
             f'flows={each.flows} waiting={each.waiting} {counted}'
         )
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -21,6 +21,7 @@
 )
 
 __all__ = (
+    'EPOCH_HEADER',
     'KEEP_ALIVE_PATH',
     'LEASE_END_PATH',
     'LEASE_PATH',
@@ -50,6 +51,9 @@
 _GONE: Final = 410
 _TOO_MANY_REQUESTS: Final = 429
 
+#: Header of each response that holds the epoch of the store, in lower case.
+EPOCH_HEADER: Final = 'store-era'
+
 #: Longest time for which the store lets a watch wait for changes.
 _MAX_WAIT_MS: Final = 30_000
 
@@ -136,14 +140,14 @@
         after this revision returns the changes made since then.
         """
         path = f'{RANGE_PATH}?prefix={prefix}'
-        page = self._read_page(path)
+        page, epoch = self._read_page(path)
         items = list(page.items)
         revision = page.revision
         while page.is_cut:
-            page = self._read_page(f'{path}&after={quote(items[-1].key)}')
+            page, _ = self._read_page(f'{path}&after={quote(items[-1].key)}')
             items.extend(page.items)
         converted = tuple(_convert_item(each) for each in items)
-        return PrefixChanges(converted, revision, is_complete=True)
+        return PrefixChanges(converted, revision, is_complete=True, epoch=epoch)
 
     def watch(
         self, prefix: str, after_revision: int, timeout_s: float
@@ -164,7 +168,12 @@
         _check_status(response)
         found = _decode_body(_EVENTS_DECODER, response)
         converted = tuple(_convert_item(each) for each in found.events)
-        return PrefixChanges(converted, found.revision, is_complete=False)
+        return PrefixChanges(
+            converted,
+            found.revision,
+            is_complete=False,
+            epoch=_epoch_of(response),
+        )
 
     def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
@@ -205,10 +214,12 @@
         """Close the idle connections to the store."""
         self._http.close()
 
-    def _read_page(self, path: str) -> RangeBody:
+    def _read_page(self, path: str) -> tuple[RangeBody, int]:
+        """Return a page of a range read and the epoch of the store."""
         response = self._http.call('GET', path)
         _check_status(response)
-        return _decode_body(_RANGE_DECODER, response)
+        page = _decode_body(_RANGE_DECODER, response)
+        return page, _epoch_of(response)
 
 
 def _check_status(response: HttpResponse) -> None:
@@ -218,6 +229,15 @@
         raise StoreUnavailableError(f'status={response.status}')
 
 
+def _epoch_of(response: HttpResponse) -> int:
+    """Return the epoch of the store that answered, 0 if it states none."""
+    text = response.headers.get(EPOCH_HEADER, '0')
+    try:
+        return int(text)
+    except ValueError as exc:
+        raise StoreDataError(EPOCH_HEADER, f'not a number: {text!r}') from exc
+
+
 def _decode_body(
     decoder: msgspec.json.Decoder[_Body], response: HttpResponse
 ) -> _Body:
--- a/siskinproxy/platform/tests/test_http_store.py
+++ b/siskinproxy/platform/tests/test_http_store.py
@@ -32,8 +32,8 @@
 class ScriptedServer:
     """HTTP server that answers each request with the next entry of a script.
 
-    An entry is a status and a body, ``None`` for no response, or ``'close'``
-    for closing the connection.
+    An entry is a status, a body and optionally the epoch of the store,
+    ``None`` for no response, or ``'close'`` for closing the connection.
     """
 
     def __init__(self, script):
@@ -65,10 +65,12 @@
                 return
             if entry is None:
                 gevent.sleep(10)
-            status, body = entry
+            status, body, *epoch = entry
             data = json.dumps(body).encode()
-            head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n'
-            conn.sendall(head.encode() + data)
+            head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n'
+            for number in epoch:
+                head += f'Store-Era: {number}\r\n'
+            conn.sendall(head.encode() + b'\r\n' + data)
 
     def on_url(self, url):
         self.url += url
@@ -135,17 +137,36 @@
     assert 'after=3&wait_ms=50' in server.requests[0][0]
 
 
+def test_answers_name_the_history_of_their_revisions(serve):
+    """Guards against revisions of two histories that cannot be told apart."""
+    page = {'items': [], 'has_more': False, 'current_rev': 8}
+    events = {'events': [], 'current_rev': 6}
+    _, store = serve((200, page, 2), (200, events, 3), (200, events))
+    assert store.read('').epoch == 2
+    assert store.watch('', 3, 0.01).epoch == 3
+    assert store.watch('', 3, 0.01).epoch == 0
+
+
 @pytest.mark.parametrize(
     ('answer', 'error'),
     [
         ((410, {}), StoreHistoryLostError),
+        ((200, {'events': [], 'current_rev': 6}, 'x'), StoreDataError),
         ((429, {}), StoreRateLimitError),
         ((503, {}), StoreUnavailableError),
         ((200, {'events': 1}), StoreDataError),
         (None, StoreUnavailableError),
         ('close', StoreUnavailableError),
     ],
-    ids=['history', 'rate', 'refused', 'unreadable', 'silent', 'closed'],
+    ids=[
+        'history',
+        'epoch',
+        'rate',
+        'refused',
+        'unreadable',
+        'silent',
+        'closed',
+    ],
 )
 def test_failed_reads(serve, answer, error):
     """Guards against a failed call that is handled as a watch without changes."""
