Reproduce the lost change of a restored store

Cause: no test and no stand-in could go back in time, so nothing showed what instances do when revisions and lease ids are given out again.

Change: SoakStore keeps a copy of each state, restores one of a given age in a new epoch, states its epoch in each answer, answers 410 to watches from a revision it does not have, and knows its leases.

--- a/siskinproxy/soak/store.py
+++ b/siskinproxy/soak/store.py
@@ -1,5 +1,7 @@
 """Stand-in for the platform's key-value store, with faults."""
 
+import time
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
@@ -11,6 +13,7 @@
 
 from siskinproxy.entry.records import Address
 from siskinproxy.platform.http_store import (
+    EPOCH_HEADER,
     KEEP_ALIVE_PATH,
     LEASE_PATH,
     RANGE_PATH,
@@ -27,6 +30,8 @@
 
 _POLL_S: Final = 0.01
 _RECEIVE_BYTES: Final = 65536
+#: Copies of the state that are kept, one for each change.
+_MAX_COPIES: Final = 2000
 _Answer = tuple[int, object]
 
 
@@ -50,12 +55,21 @@
         self._body = b''
 
 
+class _Copy(msgspec.Struct, frozen=True):
+    """State of the store after a change."""
+
+    taken_s: float
+    items: dict[str, ItemBody]
+    revision: int
+    leases: frozenset[int]
+    last_lease_id: int
+
+
 class SoakStore:
     """Key-value store in memory that answers HTTP calls.
 
-    Leases do not expire: each call to keep one alive succeeds. Writes are
-    applied without a check of preconditions, and removals in a transaction
-    are ignored.
+    Leases do not expire, but may be lost by a restore. Writes are applied
+    without a check of preconditions, and removals in a transaction are ignored.
 
     Attributes
     ----------
@@ -70,6 +84,8 @@
         Revision of the last change.
     compacted_revision : int
         Watches from an earlier revision fail with status 410.
+    epoch : int
+        Number of the history; rises with each restore.
     """
 
     def __init__(self) -> None:
@@ -78,8 +94,11 @@
         self.events: list[ItemBody] = []
         self.revision = 1
         self.compacted_revision = 0
-        self._leases: dict[int, float] = {}
-        self._lease_of: dict[str, int] = {}
+        self.epoch = 1
+        self._leases: set[int] = set()
+        self._last_lease_id = 0
+        self._copies: deque[_Copy] = deque(maxlen=_MAX_COPIES)
+        self._take_copy()
         self._listener: socket.socket | None = None
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -105,12 +124,50 @@
         self.revision += 1
         self.items[key] = ItemBody(key, self.revision, value, lease=lease)
         self.events.append(self.items[key])
+        self._take_copy()
 
     def remove(self, key: str) -> None:
         """Remove a key."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self.events.append(ItemBody(key, self.revision, removed=True))
+            self._take_copy()
+
+    def restore(self, age_s: float) -> None:
+        """Return to the state of some seconds ago, in a new epoch.
+
+        Changes since then are lost, and their revisions and lease ids are given
+        out again.
+
+        Parameters
+        ----------
+        age_s : float
+            Age of the copy in seconds; the oldest one is taken if there is none
+            of that age.
+        """
+        oldest_s = time.monotonic() - age_s
+        while len(self._copies) > 1 and self._copies[-1].taken_s > oldest_s:
+            self._copies.pop()
+        copy = self._copies[-1]
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.events = [
+            each for each in self.events if each.revision <= copy.revision
+        ]
+        self.compacted_revision = min(self.compacted_revision, copy.revision)
+        self._leases = set(copy.leases)
+        self._last_lease_id = copy.last_lease_id
+        self.epoch += 1
+
+    def _take_copy(self) -> None:
+        copy = _Copy(
+            time.monotonic(),
+            dict(self.items),
+            self.revision,
+            frozenset(self._leases),
+            self._last_lease_id,
+        )
+        self._copies.append(copy)
 
     def compact_history(self) -> None:
         """Discard past changes; watches from earlier revisions then fail."""
@@ -142,7 +199,10 @@
         if self.mode == 'up':
             status, answer = self._answer(url, body)
         data = msgspec.json.encode(answer)
-        head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n'
+        head = (
+            f'HTTP/1.1 {status} X\r\n{EPOCH_HEADER}: {self.epoch}\r\n'
+            f'Content-Length: {len(data)}\r\n\r\n'
+        )
         conn.sendall(head.encode() + data)
 
     def _answer(self, url: str, body: bytes) -> _Answer:
@@ -159,7 +219,8 @@
         if parts.path in calls:
             return calls[parts.path]()
         if parts.path.startswith(KEEP_ALIVE_PATH):
-            return 200, {}
+            lease_id = int(parts.path.removeprefix(KEEP_ALIVE_PATH))
+            return (200, {}) if lease_id in self._leases else (404, {})
         return 404, {}
 
     def _list_items(self, prefix: str) -> _Answer:
@@ -172,7 +233,7 @@
         after = int(query['after'])
         waited_s: float = 0
         while waited_s < int(query['wait_ms']) / 1000:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return 410, {}
             found = tuple(each for each in self.events if each.revision > after)
             if found:
@@ -182,11 +243,15 @@
         return 200, EventsBody((), self.revision)
 
     def _grant(self) -> _Answer:
-        lease_id = len(self._leases) + 1
-        self._leases[lease_id] = 0
-        return 200, LeaseBody(lease_id)
+        self._last_lease_id += 1
+        self._leases.add(self._last_lease_id)
+        self._take_copy()
+        return 200, LeaseBody(self._last_lease_id)
 
     def _write(self, body: bytes) -> _Answer:
-        for write in msgspec.json.decode(body, type=TxnBody).writes:
+        writes = msgspec.json.decode(body, type=TxnBody).writes
+        if any(write.lease not in {0, *self._leases} for write in writes):
+            return 404, {}
+        for write in writes:
             self.put(write.key, write.value, write.lease)
         return 200, {}
