Compare revisions of the store only within one epoch

Cause: StoreMirror took an item only if its revision was above the known one, and a list only if its revision was at least that of the mirror. A restored store gives revisions out again, so changes below the old position were dropped, and a watch that started at the old position missed them for good once the counter had passed it. Class: positions of two histories are compared as if they were of one.

Change: a position is an epoch and a revision. A watch answered in a later epoch leads to a full read; an answer of an earlier epoch is an error. The first list of an epoch replaces the mirror, compared by value, and by the order that each writer gives its own records: version of a configuration, start and number of a target's announcement. What the copy lacks or holds again contradicts what was known, and its writer corrects that within seconds, so: - an older configuration or announcement does not replace a newer one; - a configuration that the copy lacks stays; targets lapse as after an outage; zones out of service and instances stay for restore_timing; - an entry that was removed before and is back is held for restore_timing, unless it was written later. Each written or removed entry of the new epoch counts at once.

Why this works: after the first list, positions are again those of one history, and nothing of the old history can hide a later write, since what is kept has the revision of the list. TargetRecord has the number of the announcement, which test_records checks in addition.

Still there: passing on between instances.

--- a/siskinproxy/entry/bounds.py
+++ b/siskinproxy/entry/bounds.py
@@ -10,6 +10,7 @@
 from siskinproxy.entry.directory import DirectoryTiming
 from siskinproxy.entry.engine import EngineTiming
 from siskinproxy.entry.follower import FollowerTiming
+from siskinproxy.entry.restored import RestoreTiming
 from siskinproxy.entry.settings import EntryBounds
 
 __all__ = (
@@ -19,6 +20,7 @@
     'directory_timing',
     'engine_timing',
     'follower_timing',
+    'restore_timing',
 )
 
 #: Tightest bound on changes that the default `FollowerTiming` keeps, in
@@ -32,6 +34,10 @@
 #: Heartbeats of a target after which its state is known: the first one may
 #: have been sent just before its zone returned to service.
 HEARTBEATS_TO_WAIT: Final = 2
+#: Heartbeats without which the store removes the entry of a target.
+HEARTBEATS_OF_SILENCE: Final = 3
+#: Time until the end of such an entry is known, in seconds.
+SILENCE_MARGIN_S: Final = 1.0
 #: Fraction of the bound `EntryBounds.zone_out_ms` after which nothing is sent
 #: to the zone any more, counted from when this instance learns that the zone was
 #: taken out; the rest covers the time until it learns of that.
@@ -95,6 +101,12 @@
     )
 
 
+def restore_timing(bounds: EntryBounds) -> RestoreTiming:
+    """Return how long entries stay as known after a restore of the store."""
+    silence_s = HEARTBEATS_OF_SILENCE * bounds.heartbeat_ms / _MS_PER_S
+    return RestoreTiming(target_silence_s=silence_s + SILENCE_MARGIN_S)
+
+
 def cold_bounds(bounds: EntryBounds) -> ColdBounds:
     """Return the bound on the request rate of a cold target."""
     return ColdBounds(bounds.cold_factor, bounds.cold_slack)
--- a/siskinproxy/entry/cluster_state.py
+++ b/siskinproxy/entry/cluster_state.py
@@ -18,14 +18,17 @@
     InstanceRecord,
     decode_instance,
 )
-from siskinproxy.entry.mirror import StoreMirror
+from siskinproxy.entry.mirror import ItemChange, StoreMirror
 from siskinproxy.entry.records import (
     DecodedRecord,
     OperatorConfiguration,
     TargetRecord,
     UnusableRecord,
+    WritingOrder,
     ZoneTakenOut,
+    order_of_writing,
 )
+from siskinproxy.entry.restored import Deadlines, RestoreTiming, grace_s
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.store import PrefixChanges, StoredItem
 
@@ -115,6 +118,8 @@
     ----------
     mirror : StoreMirror
         Copy of the store's items.
+    restore_timing : RestoreTiming
+        How long entries stay as known after the store was restored.
     """
 
     def __init__(
@@ -125,13 +130,18 @@
         instances: InstanceDirectory,
         events: EventSink,
     ) -> None:
-        self.mirror = StoreMirror()
+        self.mirror = StoreMirror(self._order, self._is_kept)
+        self.restore_timing = RestoreTiming()
         self._store_schema = store_schema
         self._instances = instances
         self._directory = directory
         self._routes = routes
         self._events = events
         self._records: dict[str, DecodedRecord | InstanceRecord] = {}
+        #: Entries in use that the restored store lacks.
+        self._missing = Deadlines()
+        #: Entries that are back in the restored store, but not in use.
+        self._returned = Deadlines()
 
     def unusable(self) -> tuple[UnusableEntry, ...]:
         """Return the entries, and parts of them, that are not in use.
@@ -195,21 +205,85 @@
             Number of items that differ from before.
         """
         origin = _Origin(source, may_have_lapsed)
-        if changes.epoch > self.mirror.epoch:
+        is_restored = self._is_restored(changes)
+        if is_restored:
             self._report_epoch(changes, source)
         found = self.mirror.apply(changes)
         for change in found:
-            if change.item is None:
-                self._remove_record(change.key, now_s, origin)
-            else:
-                self._apply_item(change.key, change.item, now_s, origin)
+            self._apply_change(change, now_s, origin)
+        if is_restored:
+            self._set_deadlines(now_s)
         return len(found)
 
+    def expire(self, now_s: float) -> None:
+        """Let the state of a restored store count for entries that are due.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+        """
+        origin = _Origin('restored', may_have_lapsed=False)
+        for key in self._missing.take_due(now_s):
+            self._remove_record(key, now_s, origin)
+        for key in self._returned.take_due(now_s):
+            if key in self.mirror.held:
+                change = self.mirror.release(key)
+                self._apply_change(change, now_s, origin)
+
+    def _is_restored(self, changes: PrefixChanges) -> bool:
+        """Return whether an answer is of a later epoch than the known items."""
+        return changes.epoch > self.mirror.epoch and self.mirror.revision > 0
+
+    def _apply_change(
+        self, change: ItemChange, now_s: float, origin: _Origin
+    ) -> None:
+        if change.item is not None:
+            self._apply_item(change.key, change.item, now_s, origin)
+        elif change.is_reverted:
+            self._keep_missing(change.key, now_s, origin)
+        else:
+            self._remove_record(change.key, now_s, origin)
+
+    def _keep_missing(self, key: str, now_s: float, origin: _Origin) -> None:
+        """Keep an entry for a time, since its writer may write it again.
+
+        The directory has a state of its own for targets that may return.
+        """
+        record = self._records[key]
+        if isinstance(record, TargetRecord):
+            may_return = _Origin(origin.name, may_have_lapsed=True)
+            self._remove_record(key, now_s, may_return)
+        else:
+            due_s = now_s + grace_s(record, self.restore_timing)
+            self._missing.set(key, due_s)
+
+    def _set_deadlines(self, now_s: float) -> None:
+        held = self.mirror.held
+        for key, item in held.items():
+            grace = grace_s(self._decode(item), self.restore_timing)
+            self._returned.set(key, now_s + grace)
+        self._events.event(
+            'restore_applied',
+            epoch=self.mirror.epoch,
+            missing=len(self._missing),
+            held=len(held),
+            config=self._routes.version,
+        )
+
+    def _order(self, item: StoredItem, other: StoredItem) -> WritingOrder:
+        return order_of_writing(self._decode(item), self._decode(other))
+
+    def _is_kept(self, item: StoredItem) -> bool:
+        """Return whether an item stays although a restored store lacks it.
+
+        A configuration that was accepted stays in force, and instances that
+        start get it from others.
+        """
+        return isinstance(self._records.get(item.key), OperatorConfiguration)
+
     def _report_epoch(self, changes: PrefixChanges, source: str) -> None:
-        """Report that the store was restored, unless this is the first list."""
         mirror = self.mirror
-        if not mirror.revision:
-            return
         self._events.event(
             'store_restored',
             epoch=changes.epoch,
@@ -222,6 +296,7 @@
     def _apply_item(
         self, key: str, item: StoredItem, now_s: float, origin: _Origin
     ) -> None:
+        self._missing.cancel(key)
         record = self._decode(item)
         earlier = self._records.get(key)
         if not isinstance(record, type(earlier)):
--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -26,6 +26,7 @@
     LinkFormatError,
     StoreError,
     StoreHistoryLostError,
+    StoreUnavailableError,
 )
 
 __all__ = ('ChangeFollower', 'FollowerTiming')
@@ -226,6 +227,7 @@
         sent_s = self._clock()
         if source.instance is None:
             changes = self._ask_store()
+            self._check_history(changes)
             now_s = self._clock()
             answered_s = self._latest_answer_s(sent_s, now_s)
             self._apply(source, changes, answered_s, now_s)
@@ -263,6 +265,28 @@
             self.timing.watch_s,
         )
 
+    def _check_history(self, changes: PrefixChanges) -> None:
+        """Raise an error if an answer of the store can't be applied.
+
+        Raises
+        ------
+        StoreHistoryLostError
+            The store was restored since the known revision, so that changes
+            after this revision mean nothing.
+        StoreUnavailableError
+            The store has answered in a later epoch before.
+        """
+        mirror = self._cluster_state.mirror
+        if not mirror.revision or not changes.epoch:
+            return
+        if changes.epoch < mirror.epoch:
+            detail = f'epoch={changes.epoch} known_epoch={mirror.epoch}'
+            raise StoreUnavailableError(detail)
+        if changes.epoch > mirror.epoch and not changes.is_complete:
+            raise StoreHistoryLostError(
+                f'epoch={changes.epoch} known_epoch={mirror.epoch}'
+            )
+
     def _ask_instance(self, source: Source) -> ChangesAnswer:
         client = self._clients.get(source.name)
         if client is None:
@@ -282,6 +306,8 @@
         now_s: float,
     ) -> None:
         self._note_answered(source, confirmed_s, now_s)
+        mirror = self._cluster_state.mirror
+        epoch = mirror.epoch
         count = self._cluster_state.apply_changes(
             changes,
             now_s,
@@ -290,7 +316,7 @@
         )
         if changes.is_complete:
             self._needs_full_read = False
-        if count:
+        if count or mirror.epoch != epoch:
             self._changed.set()
             self._changed = Event()
 
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -15,14 +15,8 @@
 import msgspec
 from gevent.event import Event
 
-from siskinproxy.entry import startup
+from siskinproxy.entry import bounds, startup
 from siskinproxy.entry.audit import AuditTrail
-from siskinproxy.entry.bounds import (
-    cold_bounds,
-    directory_timing,
-    engine_timing,
-    follower_timing,
-)
 from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
 from siskinproxy.entry.cold_limit import ColdLimit
 from siskinproxy.entry.directory import TargetDirectory
@@ -141,7 +135,9 @@
             zone=cfg.instance.zone,
             directory=self.directory,
         )
-        self._cold_limit = ColdLimit(cfg.instance.name, cold_bounds(cfg.bounds))
+        self._cold_limit = ColdLimit(
+            cfg.instance.name, bounds.cold_bounds(cfg.bounds)
+        )
         self.loads = LoadView()
         self.socket = PacketSocket(
             parse_endpoint(cfg.listeners.packet),
@@ -283,11 +279,12 @@
 
     def _apply_bounds(self) -> None:
         """Derive timing and limits from the settings in force."""
-        bounds = self._cfg.bounds
-        self.follower.timing = follower_timing(bounds)
-        self.directory.timing = directory_timing(bounds)
-        self._cold_limit.bounds = cold_bounds(bounds)
-        self.engine.timing = engine_timing(bounds)
+        found = self._cfg.bounds
+        self.follower.timing = bounds.follower_timing(found)
+        self.directory.timing = bounds.directory_timing(found)
+        self.cluster_state.restore_timing = bounds.restore_timing(found)
+        self._cold_limit.bounds = bounds.cold_bounds(found)
+        self.engine.timing = bounds.engine_timing(found)
 
     def _run_housekeeping(self) -> None:
         """Become ready with the first configuration; then do periodic work."""
@@ -314,6 +311,7 @@
                 self.log.event(
                     'target_changed', target=target.name, change='not_returned'
                 )
+            self.cluster_state.expire(now_s)
             self._update_fleet(now_s)
             self._run_timer()
 
--- a/siskinproxy/entry/records.py
+++ b/siskinproxy/entry/records.py
@@ -6,7 +6,8 @@
 
 import enum
 import zlib
-from typing import Final, NamedTuple
+from functools import singledispatch
+from typing import Any, Final, NamedTuple
 
 import msgspec
 
@@ -23,7 +24,9 @@
     'ServiceShare',
     'TargetRecord',
     'UnusableRecord',
+    'WritingOrder',
     'ZoneTakenOut',
+    'order_of_writing',
     'parse_endpoint',
     'token_of',
 )
@@ -126,6 +129,8 @@
         restarted target from the earlier one of the same name.
     revision : int
         Revision of the store at which the record was written.
+    sequence : int
+        Number of the announcement, counted by the target from its start.
     """
 
     name: str
@@ -138,6 +143,7 @@
     warmup_left_s: float
     started_unix_ms: int
     revision: int
+    sequence: int = 0
 
     @property
     def token(self) -> int:
@@ -324,3 +330,65 @@
 DecodedRecord = (
     TargetRecord | OperatorConfiguration | ZoneTakenOut | UnusableRecord
 )
+
+
+class WritingOrder(enum.Enum):
+    """Order in which the writer of a key wrote two records."""
+
+    EARLIER = 'earlier'
+    LATER = 'later'
+    #: The records do not tell.
+    UNKNOWN = 'unknown'
+
+
+@singledispatch
+def order_of_writing(record: Any, other: Any) -> WritingOrder:
+    """Return when a record was written, compared with another one of its key.
+
+    Unlike revisions of the store, the order does not change when the store is
+    restored from a copy.
+
+    Parameters
+    ----------
+    record, other : DecodedRecord or InstanceRecord
+        Records of one key of the store.
+
+    Returns
+    -------
+    WritingOrder
+        ``UNKNOWN`` if the kind of record has no order of its own.
+    """
+    return WritingOrder.UNKNOWN
+
+
+@order_of_writing.register
+def _order_of_configuration(
+    record: OperatorConfiguration, other: Any
+) -> WritingOrder:
+    if not isinstance(other, OperatorConfiguration):
+        return WritingOrder.UNKNOWN
+    return _compare(record.version, other.version)
+
+
+@order_of_writing.register
+def _order_of_target(record: TargetRecord, other: Any) -> WritingOrder:
+    """Compare announcements by the start of the target, then by their number.
+
+    A higher number of the same start may still be the last announcement of a
+    target that has ended since, so it tells nothing.
+    """
+    if not isinstance(other, TargetRecord):
+        return WritingOrder.UNKNOWN
+    if not (record.started_unix_ms and other.started_unix_ms):
+        # Without its start, a lower number may be that of a restarted target.
+        return WritingOrder.UNKNOWN
+    by_start = _compare(record.started_unix_ms, other.started_unix_ms)
+    if by_start is WritingOrder.UNKNOWN and record.sequence < other.sequence:
+        return WritingOrder.EARLIER
+    return by_start
+
+
+def _compare(number: int, other: int) -> WritingOrder:
+    if number == other:
+        return WritingOrder.UNKNOWN
+    return WritingOrder.EARLIER if number < other else WritingOrder.LATER
--- a/siskinproxy/platform/records.py
+++ b/siskinproxy/platform/records.py
@@ -91,7 +91,7 @@
     state: str  # ready or draining
     #: Time for which the target is still cold; 0 if it is warm.
     cold_ms: float = msgspec.field(name='warmup_left_ms')
-    sequence: int  # required, but not used by instances
+    sequence: int  # of the announcement, counted from the target's start
     born: int = 0  # start of the target, Unix time in ms
 
 
@@ -229,6 +229,7 @@
         warmup_left_s=entry.cold_ms / 1000,
         started_unix_ms=entry.born,
         revision=item.revision,
+        sequence=entry.sequence,
     )
 
 
--- a/siskinproxy/platform/tests/test_records.py
+++ b/siskinproxy/platform/tests/test_records.py
@@ -92,6 +92,7 @@
         warmup_left_s=1.5,
         started_unix_ms=1700000000000,
         revision=9,
+        sequence=4,
     )
     assert record.token == token_of(0x7F3A91C2)
 
--- a/siskinproxy/platform/tests/test_restored_store.py
+++ b/siskinproxy/platform/tests/test_restored_store.py
@@ -1,6 +1,7 @@
 """Entry process against a store that comes back from an older copy."""
 
 import random
+import time
 
 import gevent
 import msgspec
@@ -17,6 +18,7 @@
 )
 from siskinproxy.entry.peer_link import PeerServer
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.restored import RestoreTiming
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.sources import SourceLimits, SourceSelector
 from siskinproxy.entry.tests.fakes import Events
@@ -39,6 +41,7 @@
     retry_s=0.01,
     reregistration_s=0.3,
 )
+RESTORE_TIMING = RestoreTiming(rewrite_s=0.3, target_silence_s=0.3, lease_s=0.3)
 LIMITS = SourceLimits(avoid_s=0.1, avoid_store_s=0.05)
 ZONE_KEY = 'op/evacuate/z0'
 
@@ -89,11 +92,18 @@
             self.events,
             TIMING,
         )
+        self.cluster_state.restore_timing = RESTORE_TIMING
         self.server = PeerServer(
             Address('127.0.0.1', 0), self.follower.answer, self.events
         )
         self.follower.start()
         self.server.start()
+        self.housekeeping = gevent.spawn(self.expire)
+
+    def expire(self):
+        while True:
+            gevent.sleep(0.02)
+            self.cluster_state.expire(time.monotonic())
 
     @property
     def in_use(self):
@@ -106,6 +116,7 @@
                 gevent.sleep(0.005)
 
     def close(self):
+        self.housekeeping.kill()
         self.server.close()
         self.follower.close()
         self.client.close()
