Return no revision later than the events of a watch

Cause: SoakStore._watch answered a watch that timed out with the current revision, but had looked for events before its last wait of 10 ms. A change made in that wait was lost for the follower. The fault is the stand-in's alone: the platform's store is linearizable.

Change: the wait ends with another look.

--- a/siskinproxy/soak/store.py
+++ b/siskinproxy/soak/store.py
@@ -232,15 +232,14 @@
     def _watch(self, query: dict[str, str]) -> _Answer:
         after = int(query['after'])
         waited_s: float = 0
-        while waited_s < int(query['wait_ms']) / 1000:
-            if not self.compacted_revision <= after <= self.revision:
-                return 410, {}
+        while self.compacted_revision <= after <= self.revision:
             found = tuple(each for each in self.events if each.revision > after)
-            if found:
+            # The revision must not be later than the events that are returned.
+            if found or waited_s >= int(query['wait_ms']) / 1000:
                 return 200, EventsBody(found, self.revision)
             gevent.sleep(_POLL_S)
             waited_s += _POLL_S
-        return 200, EventsBody((), self.revision)
+        return 410, {}
 
     def _grant(self) -> _Answer:
         self._last_lease_id += 1
