State the epoch when instances pass on changes

Cause: queries and answers between instances named a revision without its epoch. An instance in the new epoch asked with a low revision and got changes of the old history; one of the old history asked with a high revision and got none.

Change: both messages name the epoch. An answer of an earlier epoch counts as a failure of its source; a query of another epoch gets all items at once. Epoch 0 means not stated, so that instances of the earlier version can be asked and can ask during an update.

Tests: test_an_instance_of_the_old_history_hides_no_change failed on and on, and passes now. The tests now name the source explicitly.

--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -129,7 +129,7 @@
         self._clock = clock
         self._clients: dict[str, PeerClient] = {}
         self._changed = Event()
-        self._last_packed: tuple[tuple[int, int], bytes] | None = None
+        self._last_packed: tuple[tuple[int, ...], bytes] | None = None
         self._needs_full_read = True
         self._lost_since_s: float | None = None
         self._regained_s: float | None = None
@@ -188,25 +188,31 @@
         """
         mirror = self._cluster_state.mirror
         is_fresh = not self._is_stale(self.age_s(self._clock()))
-        if is_fresh and mirror.revision <= query.revision:
+        has_epoch = query.epoch in {0, mirror.epoch}
+        if is_fresh and has_epoch and mirror.revision <= query.revision:
             self._changed.wait(query.wait_ms / 1000)
         now_s = self._clock()
-        changes = mirror.changes_after(query.revision)
+        changes = mirror.changes_after(query.revision, query.epoch)
         return ChangesAnswer(
-            self._pack(query.revision, changes),
+            self._pack(query, changes),
             changes.revision,
             changes.is_complete,
             age_ms=_milliseconds(self.age_s(now_s)),
             may_have_lapsed=self._may_have_lapsed(now_s),
+            epoch=changes.epoch,
         )
 
-    def _pack(self, known_revision: int, changes: PrefixChanges) -> bytes:
-        """Return the packed items of changes after a known revision.
+    def _pack(self, query: ChangesQuery, changes: PrefixChanges) -> bytes:
+        """Return the packed items of the changes that an instance lacks.
 
         The last result is kept, since the instances that wait here usually
         lack the same changes.
         """
-        key = (known_revision, changes.revision)
+        key = (
+            changes.epoch,
+            changes.revision,
+            0 if changes.is_complete else query.revision,
+        )
         if self._last_packed is None or self._last_packed[0] != key:
             self._last_packed = (key, pack_items(changes.items))
         return self._last_packed[1]
@@ -237,8 +243,12 @@
         answer = self._ask_instance(source)
         now_s = self._clock()
         changes = PrefixChanges(
-            unpack_items(answer.packed), answer.revision, answer.is_complete
+            unpack_items(answer.packed),
+            answer.revision,
+            answer.is_complete,
+            answer.epoch,
         )
+        self._check_history(changes)
         age_s = None if answer.age_ms is None else answer.age_ms / 1000
         answered_s = self._latest_answer_s(sent_s, now_s)
         confirmed_s = -1 if age_s is None else answered_s - age_s
@@ -266,7 +276,7 @@
         )
 
     def _check_history(self, changes: PrefixChanges) -> None:
-        """Raise an error if an answer of the store can't be applied.
+        """Raise an error if an answer can't be applied.
 
         Raises
         ------
@@ -274,7 +284,8 @@
             The store was restored since the known revision, so that changes
             after this revision mean nothing.
         StoreUnavailableError
-            The store has answered in a later epoch before.
+            A later epoch is known: the source has not learned of the restore,
+            or its answer was held up.
         """
         mirror = self._cluster_state.mirror
         if not mirror.revision or not changes.epoch:
@@ -295,8 +306,10 @@
             )
             self._clients[source.name] = client
         wait_ms = round(1000 * self.timing.watch_s)
-        revision = self._cluster_state.mirror.revision
-        return client.ask(ChangesQuery(self._name, revision, wait_ms))
+        mirror = self._cluster_state.mirror
+        return client.ask(
+            ChangesQuery(self._name, mirror.revision, wait_ms, mirror.epoch)
+        )
 
     def _apply(
         self,
--- a/siskinproxy/entry/mirror.py
+++ b/siskinproxy/entry/mirror.py
@@ -112,21 +112,24 @@
         self.items[key] = item
         return ItemChange(key, item)
 
-    def changes_after(self, revision: int) -> PrefixChanges:
+    def changes_after(self, revision: int, epoch: int = 0) -> PrefixChanges:
         """Return the changes that an instance at a given revision lacks.
 
         Parameters
         ----------
         revision : int
             Revision that the other instance knows; 0 if it knows none.
+        epoch : int
+            Epoch to which that revision belongs; 0 for that of the copy.
 
         Returns
         -------
         PrefixChanges
-            Changes after that revision; all items if it is 0 or if not all
-            removals since then are remembered.
+            Changes after that revision; all items if it is 0 or of another
+            epoch, or if not all removals since then are remembered.
         """
-        if revision < self._forgotten_revision or not revision:
+        is_known = revision and epoch in {0, self.epoch}
+        if not is_known or revision < self._forgotten_revision:
             present = (*self.items.values(), *self._held.values())
             return PrefixChanges(
                 present, self.revision, is_complete=True, epoch=self.epoch
--- a/siskinproxy/entry/peer_messages.py
+++ b/siskinproxy/entry/peer_messages.py
@@ -43,11 +43,14 @@
         Revision of the store that it knows; 0 if it knows none.
     wait_ms : int
         Longest time to wait for a change before answering, in milliseconds.
+    epoch : int
+        Epoch of the store to which the revision belongs; 0 if not stated.
     """
 
     instance: str
     revision: int
     wait_ms: int
+    epoch: int = 0
 
 
 class ChangesAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -67,6 +70,8 @@
     may_have_lapsed : bool
         Whether missing entries may only have expired because their owners
         could not renew them while the store was unavailable.
+    epoch : int
+        Epoch of the store to which the revision belongs; 0 if not stated.
     """
 
     packed: bytes
@@ -74,6 +79,7 @@
     is_complete: bool
     age_ms: int | None
     may_have_lapsed: bool
+    epoch: int = 0
 
 
 #: zlib level; the fastest, since small instances have a fraction of a core.
--- a/siskinproxy/platform/tests/test_restored_store.py
+++ b/siskinproxy/platform/tests/test_restored_store.py
@@ -110,6 +110,11 @@
         """Names of the targets that get new flows."""
         return {known.name for known in self.directory.usable_targets('desk')}
 
+    def as_source(self):
+        """Return the record of an instance that others ask first."""
+        port = self.server.port
+        return InstanceRecord('i-1', 'z0', '127.0.0.1', port, link_mbps=10)
+
     def wait_for(self, condition, seconds=3):
         with gevent.Timeout(seconds, AssertionError('not seen in time')):
             while not condition():
@@ -195,8 +200,7 @@
 def test_an_instance_of_the_old_history_hides_no_change(store, start):
     """Guards against a restore that instances never learn from each other."""
     first = start('i-1')
-    peer = InstanceRecord('i-1', 'z0', '127.0.0.1', first.server.port)
-    second = start('i-2', peer=peer)
+    second = start('i-2', peer=first.as_source())
     second.wait_for(lambda: second.follower.source_name == 'i-1')
     change = [configuration_item(3), (ZONE_KEY, b'{}')]
     restore(store, *changes(9), rewritten=change + changes(2))
@@ -263,8 +267,7 @@
     first = start('i-1')
     restore(store, configuration_item(5))
     first.wait_for(lambda: first.events.named('store_restored'))
-    peer = InstanceRecord('i-1', 'z0', '127.0.0.1', first.server.port)
-    second = start('i-2', peer=peer)
+    second = start('i-2', peer=first.as_source())
     assert first.routes.version == 5
     assert second.routes.version == 5
 
