Trust a lease only in the epoch in which the store stated it

Callers would see: an instance without a registration for the rest of its life. The others of its zone then don't ask it, don't send it load reports and don't count it for cold targets; or its registration ends when another instance stops.

Cause: a registration was renewed by the id of its lease. A restored store has lost leases granted after the copy and gives their ids out again, so a renewal can succeed although the id is another instance's, and a write between grant and put of two epochs hangs on a foreign lease. Class: a permission is identified by a number that is unique only within one history.

Change: calls on leases return the epoch of the answer. A renewal that is answered in another epoch is followed by a look at the list of that epoch: the lease that holds the own registration there is renewed, otherwise the instance registers again, spread over 5 ms per instance of the fleet (400 writes a second at two writes each). A put that is answered in another epoch than its grant is repeated under a new lease.

Tests: test_a_lease_of_before_a_restore_is_not_trusted (four lists), test_a_write_under_a_lease_of_the_lost_history_is_repeated.

--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -182,8 +182,8 @@
         self._registration = Registration(
             store,
             record,
-            self.cluster_state.mirror.items.get,
-            lambda: self.cluster_state.mirror.revision > 0,
+            self.cluster_state.mirror,
+            self.instances.__len__,
             self.log,
         )
         self.record = record
@@ -312,6 +312,7 @@
                     'target_changed', target=target.name, change='not_returned'
                 )
             self.cluster_state.expire(now_s)
+            self._registration.check()
             self._update_fleet(now_s)
             self._run_timer()
 
--- a/siskinproxy/entry/registration.py
+++ b/siskinproxy/entry/registration.py
@@ -4,20 +4,27 @@
 expires without renewal. A process that has restarted finds its registration
 in the store's list and takes over the lease: that takes one cheap call instead
 of two, and the other instances get no change to apply.
+
+A restored store may have lost the registration, and may have given the id of its
+lease to another instance, so a lease counts only in the epoch in which the store
+granted or listed it.
 """
 
+import random
 from collections.abc import Callable
 from typing import Any
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 from siskinproxy.entry.instances import (
     INSTANCES_PREFIX,
     InstanceRecord,
     encode_instance,
 )
-from siskinproxy.entry.store import PrefixStore, StoredItem
+from siskinproxy.entry.mirror import StoreMirror
+from siskinproxy.entry.store import Lease, PrefixStore
 from siskinproxy.errors import LeaseLostError, StoreError
 
 __all__ = ('Registration', 'RegistrationTiming')
@@ -40,6 +47,9 @@
         Longest wait for the first list of the store's items.
     list_check_s : float
         Time between two looks for that list.
+    spread_s : float
+        Time over which the instances of a fleet spread their registrations
+        after a restore of the store, for each of them.
     """
 
     lease_s: float = 20.0
@@ -47,6 +57,7 @@
     retry_s: float = 1.5
     list_wait_s: float = 1.0
     list_check_s: float = 0.02
+    spread_s: float = 0.005
 
 
 class Registration:
@@ -58,11 +69,10 @@
         Client of the store.
     record : InstanceRecord
         Registration of this instance.
-    find_item : callable
-        Returns the item under a key by the store's list, None if there is
-        none.
-    has_list : callable
-        Returns whether a list of the store's items has arrived.
+    mirror : StoreMirror
+        Copy of the store's items.
+    fleet_size : callable
+        Returns the number of registered instances.
     events : EventSink
         Where failed calls and a lost lease are reported.
     timing : RegistrationTiming or None
@@ -73,18 +83,20 @@
         self,
         store: PrefixStore,
         record: InstanceRecord,
-        find_item: Callable[[str], StoredItem | None],
-        has_list: Callable[[], bool],
+        mirror: StoreMirror,
+        fleet_size: Callable[[], int],
         events: Any,
         timing: RegistrationTiming | None = None,
     ) -> None:
         self._store = store
         self._record = record
-        self._find_item = find_item
-        self._has_list = has_list
+        self._mirror = mirror
+        self._fleet_size = fleet_size
         self._events = events
+        self._key = f'{INSTANCES_PREFIX}{record.name}'
         self._timing = timing or RegistrationTiming()
-        self._lease_id: int | None = None
+        self._lease: Lease | None = None
+        self._wake = Event()
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -97,44 +109,81 @@
             self._greenlet.kill()
             self._greenlet = None
 
+    def check(self) -> None:
+        """Look after the registration at once if the store was restored."""
+        lease = self._lease
+        if lease is not None and lease.epoch != self._mirror.epoch:
+            self._wake.set()
+
     def _run(self) -> None:
-        self._wait_for_list()
-        self._lease_id = self._find_own_lease()
+        self._wait_for_list(0)
+        self._lease = self._find_own_lease()
         while True:
+            self._wake.clear()
             try:
                 self._register_or_renew()
             except LeaseLostError as exc:
-                self._lease_id = None
+                self._lease = None
                 self._report_failure('registration_lost', exc)
                 gevent.sleep(0)
             except StoreError as exc:
                 self._report_failure('registration_failed', exc)
                 gevent.sleep(self._timing.retry_s)
             else:
-                gevent.sleep(self._timing.renew_s)
+                self._wake.wait(self._timing.renew_s)
 
-    def _wait_for_list(self) -> None:
+    def _wait_for_list(self, epoch: int) -> None:
+        """Wait for the first list, of this epoch of the store or a later one."""
         timing = self._timing
+        mirror = self._mirror
         waited_s: float = 0
-        while not self._has_list() and waited_s < timing.list_wait_s:
+        while waited_s < timing.list_wait_s:
+            if mirror.revision and mirror.epoch >= epoch:
+                return
             gevent.sleep(timing.list_check_s)
             waited_s += timing.list_check_s
 
-    def _find_own_lease(self) -> int | None:
+    def _find_own_lease(self) -> Lease | None:
         """Return the lease of this instance's registration, None if none."""
-        item = self._find_item(f'{INSTANCES_PREFIX}{self._record.name}')
+        item = self._mirror.items.get(self._key)
         if item is None or item.value != encode_instance(self._record):
             return None
-        return item.lease_id or None
+        return (
+            Lease(item.lease_id, self._mirror.epoch) if item.lease_id else None
+        )
 
     def _register_or_renew(self) -> None:
-        if self._lease_id is not None:
-            self._store.keep_alive(self._lease_id)
-            return
-        lease_id = self._store.grant_lease(self._timing.lease_s)
-        key = f'{INSTANCES_PREFIX}{self._record.name}'
-        self._store.put(key, encode_instance(self._record), lease_id)
-        self._lease_id = lease_id
+        if self._lease is not None:
+            epoch = self._store.keep_alive(self._lease.lease_id)
+            if epoch == self._lease.epoch:
+                return
+            self._lease = self._find_restored_lease(epoch)
+        if self._lease is None:
+            self._lease = self._register()
+        else:
+            self._store.keep_alive(self._lease.lease_id)
+
+    def _find_restored_lease(self, epoch: int) -> Lease | None:
+        """Return the lease that holds the registration in a restored store."""
+        self._wait_for_list(epoch)
+        lease = self._find_own_lease()
+        if lease is not None and lease.epoch == epoch:
+            return lease
+        self._events.event('registration_not_restored', epoch=epoch)
+        longest_s = self._timing.spread_s * self._fleet_size()
+        gevent.sleep(random.uniform(0, longest_s))  # noqa: S311
+        return None
+
+    def _register(self) -> Lease:
+        lease = self._store.grant_lease(self._timing.lease_s)
+        epoch = self._store.put(
+            self._key, encode_instance(self._record), lease.lease_id
+        )
+        if epoch != lease.epoch:
+            raise LeaseLostError(
+                f'lease={lease.lease_id} epoch={lease.epoch} written_in={epoch}'
+            )
+        return lease
 
     def _report_failure(self, name: str, exc: StoreError) -> None:
         self._events.event(name, kind=type(exc).__name__, reason=str(exc))
--- a/siskinproxy/entry/store.py
+++ b/siskinproxy/entry/store.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-__all__ = ('ItemRemoved', 'PrefixChanges', 'PrefixStore', 'StoredItem')
+__all__ = (
+    'ItemRemoved',
+    'Lease',
+    'PrefixChanges',
+    'PrefixStore',
+    'StoredItem',
+)
 
 
 class StoredItem(msgspec.Struct, frozen=True, array_like=True, tag='s'):
@@ -49,6 +55,22 @@
     revision: int
 
 
+class Lease(msgspec.Struct, frozen=True):
+    """A lease of the store.
+
+    Parameters
+    ----------
+    lease_id : int
+        Id. A restored store gives the ids of lost leases out again, so an id
+        names a lease only together with the epoch.
+    epoch : int
+        Epoch of the store in which the lease is known to exist.
+    """
+
+    lease_id: int
+    epoch: int
+
+
 class PrefixChanges(msgspec.Struct, frozen=True):
     """Items whose keys start with a prefix: all, or those that changed.
 
@@ -78,6 +100,8 @@
 
     Every call may raise `StoreUnavailableError` or `StoreRateLimitError`;
     calls that write may also raise `StoreOutcomeUnknownError`.
+
+    Calls that return an epoch return that of the answer, 0 if not stated.
     """
 
     def read(self, prefix: str) -> PrefixChanges:
@@ -109,11 +133,11 @@
             caller has to read the prefix.
         """
 
-    def grant_lease(self, ttl_s: float) -> int:
-        """Return the id of a new lease that ends after a time to live."""
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Return a new lease that ends after a time to live."""
 
-    def keep_alive(self, lease_id: int) -> None:
-        """Renew a lease for its time to live.
+    def keep_alive(self, lease_id: int) -> int:
+        """Renew a lease for its time to live; return the epoch.
 
         Raises
         ------
@@ -121,8 +145,8 @@
             The lease has ended.
         """
 
-    def put(self, key: str, value: bytes, lease_id: int) -> None:
-        """Write a key that the store removes when the lease ends.
+    def put(self, key: str, value: bytes, lease_id: int) -> int:
+        """Write a key that the store removes with a lease; return the epoch.
 
         Raises
         ------
--- a/siskinproxy/entry/tests/test_registration.py
+++ b/siskinproxy/entry/tests/test_registration.py
@@ -1,6 +1,7 @@
 """Registration of an instance, also after a restart of its process."""
 
 import gevent
+import msgspec
 import pytest
 
 from siskinproxy.entry.instances import (
@@ -8,14 +9,16 @@
     InstanceRecord,
     encode_instance,
 )
+from siskinproxy.entry.mirror import StoreMirror
 from siskinproxy.entry.registration import Registration, RegistrationTiming
-from siskinproxy.entry.store import StoredItem
+from siskinproxy.entry.store import Lease, PrefixChanges, StoredItem
 from siskinproxy.entry.tests.fakes import Events
 from siskinproxy.errors import LeaseLostError
 
 RECORD = InstanceRecord('i-1', 'a', '127.0.0.1', 7)
 KEY = f'{INSTANCES_PREFIX}i-1'
 TIMING = RegistrationTiming(renew_s=0.01, list_wait_s=0.05, list_check_s=0.002)
+RARE_RENEWALS = msgspec.structs.replace(TIMING, renew_s=10)
 
 
 class Store:
@@ -24,24 +27,37 @@
     def __init__(self, leases=()):
         self.calls = []
         self.leases = set(leases)
+        self.epoch = 1
+        self.written = {}
 
     def keep_alive(self, lease_id):
         self.calls.append(('renew', lease_id))
         if lease_id not in self.leases:
             raise LeaseLostError(f'lease={lease_id}')
+        return self.epoch
 
     def grant_lease(self, ttl_s):
         self.calls.append(('grant', None))
         self.leases.add(9)
-        return 9
+        return Lease(9, self.epoch)
 
     def put(self, key, value, lease_id):
         self.calls.append(('put', lease_id))
+        self.written[key] = lease_id
+        return self.epoch
 
 
-def calls_of(store, items, has_list=lambda: True, run_s=0.1):
+def mirror_of(items, epoch=1):
+    mirror = StoreMirror()
+    listed = tuple(items.values())
+    mirror.apply(PrefixChanges(listed, 5, is_complete=True, epoch=epoch))
+    return mirror
+
+
+def calls_of(store, items, mirror=None, run_s=0.1):
+    mirror = mirror or mirror_of(items)
     registration = Registration(
-        store, RECORD, items.get, has_list, Events(), TIMING
+        store, RECORD, mirror, lambda: 1, Events(), TIMING
     )
     registration.start()
     gevent.sleep(run_s)
@@ -86,5 +102,63 @@
 
 def test_registers_without_a_list_of_the_store():
     """Guards against waiting for a store that answers no reads."""
-    calls = calls_of(Store(), {}, has_list=lambda: False, run_s=0.3)
+    calls = calls_of(Store(), {}, StoreMirror(), run_s=0.3)
     assert calls[:2] == [('grant', None), ('put', 9)]
+
+
+@pytest.fixture
+def restored():
+    """Registration whose lease 5 existed before the store was restored."""
+    store = Store(leases={5})
+    mirror = mirror_of(registered(5))
+    registration = Registration(
+        store, RECORD, mirror, lambda: 1, Events(), RARE_RENEWALS
+    )
+    registration.start()
+    gevent.sleep(0.02)
+    assert store.calls == [('renew', 5)]
+    store.epoch = 2
+    yield store, mirror, registration
+    registration.close()
+
+
+@pytest.mark.parametrize(
+    ('listed', 'calls'),
+    [
+        (registered(5), [('renew', 5)] * 2),
+        (registered(4), [('renew', 5), ('renew', 4)]),
+        ({}, [('renew', 5), ('grant', None), ('put', 9)]),
+        (
+            registered(5, InstanceRecord('i-1', 'a', '127.0.0.2', 7)),
+            [('renew', 5), ('grant', None), ('put', 9)],
+        ),
+    ],
+    ids=['kept', 'earlier_lease', 'lost', 'earlier_address'],
+)
+def test_a_lease_of_before_a_restore_is_not_trusted(restored, listed, calls):
+    """Guards against holding a lease that now belongs to another instance."""
+    store, mirror, registration = restored
+    store.leases.add(4)
+    items = tuple(listed.values())
+    mirror.apply(PrefixChanges(items, 3, is_complete=True, epoch=2))
+    registration.check()
+    gevent.sleep(0.1)
+    assert store.calls[1:] == calls
+    registration.check()
+    gevent.sleep(0.05)
+    assert store.calls[1:] == calls
+
+
+def test_a_write_under_a_lease_of_the_lost_history_is_repeated():
+    """Guards against a registration that another instance's lease removes."""
+
+    class RestoredStore(Store):
+        """Store that is restored between two calls."""
+
+        def grant_lease(self, ttl_s):
+            lease = super().grant_lease(ttl_s)
+            self.epoch = 2
+            return lease
+
+    calls = calls_of(RestoredStore(), {})
+    assert calls[:4] == [('grant', None), ('put', 9)] * 2
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -11,7 +11,12 @@
 
 from siskinproxy.entry.http_client import HttpClient, HttpResponse
 from siskinproxy.entry.records import Address
-from siskinproxy.entry.store import ItemRemoved, PrefixChanges, StoredItem
+from siskinproxy.entry.store import (
+    ItemRemoved,
+    Lease,
+    PrefixChanges,
+    StoredItem,
+)
 from siskinproxy.errors import (
     LeaseLostError,
     StoreDataError,
@@ -175,22 +180,24 @@
             epoch=_epoch_of(response),
         )
 
-    def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its id."""
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Create a lease and return it."""
         body = msgspec.json.encode({'ttl_ms': int(ttl_s * 1000)})
         response = self._http.call('POST', LEASE_PATH, body, writes=True)
         _check_status(response)
-        return _decode_body(_LEASE_DECODER, response).lease
+        lease_id = _decode_body(_LEASE_DECODER, response).lease
+        return Lease(lease_id, _epoch_of(response))
 
-    def keep_alive(self, lease_id: int) -> None:
+    def keep_alive(self, lease_id: int) -> int:
         """Renew a lease, so that it lasts for its full time again."""
         path = f'{KEEP_ALIVE_PATH}{lease_id}'
         response = self._http.call('POST', path)
         if response.status == _NOT_FOUND:
             raise LeaseLostError(f'lease={lease_id}')
         _check_status(response)
+        return _epoch_of(response)
 
-    def put(self, key: str, value: bytes, lease_id: int) -> None:
+    def put(self, key: str, value: bytes, lease_id: int) -> int:
         """Write a key that the store removes when the lease ends."""
         change = TxnBody(writes=(WriteBody(key, value, lease_id),))
         response = self._http.call(
@@ -202,6 +209,7 @@
         if response.status == _NOT_FOUND:
             raise LeaseLostError(f'lease={lease_id}')
         _check_status(response)
+        return _epoch_of(response)
 
     def end_lease(self, lease_id: int) -> None:
         """End a lease, which removes its keys; it may have ended already."""
--- a/siskinproxy/platform/tests/test_http_store.py
+++ b/siskinproxy/platform/tests/test_http_store.py
@@ -8,7 +8,12 @@
 from gevent import socket
 
 from siskinproxy.entry.records import Address
-from siskinproxy.entry.store import ItemRemoved, PrefixChanges, StoredItem
+from siskinproxy.entry.store import (
+    ItemRemoved,
+    Lease,
+    PrefixChanges,
+    StoredItem,
+)
 from siskinproxy.errors import (
     LeaseLostError,
     StoreDataError,
@@ -208,17 +213,18 @@
 def test_leases_and_writes(serve):
     """Guards against writing a registration without its lease.
 
-    Its key would stay after the end of the instance.
+    Its key would stay after the end of the instance. An answer without its
+    epoch would let a lease of another instance pass for the own one.
     """
     server, store = serve(
-        (200, {'lease': 7, 'ttl_ms': 20000}),
-        (200, {'rev': 9}),
-        (200, {'ttl_ms': 20000}),
+        (200, {'lease': 7, 'ttl_ms': 20000}, 2),
+        (200, {'rev': 9}, 3),
+        (200, {'ttl_ms': 20000}, 4),
         (200, {}),
     )
-    assert store.grant_lease(20) == 7
-    store.put('siskinproxy/instances/i', b'x', 7)
-    store.keep_alive(7)
+    assert store.grant_lease(20) == Lease(7, 2)
+    assert store.put('siskinproxy/instances/i', b'x', 7) == 3
+    assert store.keep_alive(7) == 4
     store.end_lease(7)
     assert json.loads(server.requests[1][1]) == {
         'precondition': [],
