Join pages of one epoch only

Would be seen: a key that the restored store lacks stays in the list of an instance, and no later change removes it: a target or a zone for good.

Cause: a list of more than about 500 items is read in pages, and the epoch of the first one stood for all. Evidence: test_pages_of_two_histories_are_not_joined fails without the change ("DID NOT RAISE").

Change: pages of two epochs raise StoreHistoryLostError, after which the follower reads again. A table of eleven cases states what the mirror makes of the first list of an epoch.

--- a/siskinproxy/entry/tests/test_mirror.py
+++ b/siskinproxy/entry/tests/test_mirror.py
@@ -4,6 +4,7 @@
 
 from siskinproxy.entry import mirror as mirror_module
 from siskinproxy.entry.mirror import StoreMirror
+from siskinproxy.entry.records import WritingOrder
 from siskinproxy.entry.store import ItemRemoved, PrefixChanges, StoredItem
 
 
@@ -19,6 +20,76 @@
     return PrefixChanges(items, revision, is_complete=False)
 
 
+def by_value(item, other):
+    """Order items whose values are a writer and a number, such as ``a5``."""
+    if item.value[:1] != other.value[:1] or item.value == other.value:
+        return WritingOrder.UNKNOWN
+    is_earlier = item.value < other.value
+    return WritingOrder.EARLIER if is_earlier else WritingOrder.LATER
+
+
+@pytest.mark.parametrize(
+    ('known', 'listed', 'later', 'values'),
+    [
+        ([item('k', 9, b'a5')], [item('k', 3, b'a2')], [], {'k': b'a5'}),
+        ([item('k', 9, b'a5')], [item('k', 5, b'a7')], [], {'k': b'a7'}),
+        ([item('k', 9, b'a5')], [item('k', 5, b'b1')], [], {'k': b'b1'}),
+        ([item('k', 9, b'a5')], [], [], {}),
+        ([item('kept', 9, b'a5')], [], [], {'kept': b'a5'}),
+        (
+            [item('k', 9, b'a5')],
+            [item('k', 3, b'a2')],
+            [item('k', 6, b'a3')],
+            {'k': b'a3'},
+        ),
+        ([item('kept', 9)], [], [ItemRemoved('kept', 6)], {}),
+        ([item('k', 8), ItemRemoved('k', 9)], [item('k', 3)], [], {}),
+        (
+            [item('k', 3), ItemRemoved('k', 9)],
+            [item('k', 3)],
+            [item('k', 6)],
+            {'k': b'v'},
+        ),
+        (
+            [item('k', 8, b'a5'), ItemRemoved('k', 9)],
+            [item('k', 3, b'a2')],
+            [],
+            {'k': b'a5'},
+        ),
+        (
+            [item('k', 8, b'a5'), ItemRemoved('k', 9)],
+            [item('k', 3, b'a7')],
+            [],
+            {'k': b'a7'},
+        ),
+    ],
+    ids=[
+        'older_in_the_copy',
+        'newer_in_the_copy',
+        'order_unknown',
+        'missing_from_the_copy',
+        'kept_though_missing',
+        'written_again',
+        'removed_again',
+        'back_after_its_removal',
+        'back_and_written_again',
+        'back_in_an_older_form',
+        'back_in_a_newer_form',
+    ],
+)
+def test_items_after_a_restore(known, listed, later, values):
+    """Guards against items that a restored store brings back or hides."""
+    mirror = StoreMirror(by_value, lambda kept: kept.key == 'kept')
+    mirror.apply(PrefixChanges((), 1, is_complete=True, epoch=1))
+    for number, each in enumerate(known, 9):
+        mirror.apply(PrefixChanges((each,), number, False, epoch=1))
+    mirror.apply(PrefixChanges(tuple(listed), 5, True, epoch=2))
+    mirror.apply(PrefixChanges(tuple(later), 6, False, epoch=2))
+    assert {key: kept.value for key, kept in mirror.items.items()} == values
+    late = PrefixChanges((item('late', 20),), 20, True, epoch=1)
+    assert mirror.apply(late) == ()
+
+
 @pytest.mark.parametrize(
     ('answers', 'keys'),
     [
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -143,13 +143,24 @@
         The store does not read all pages at the same revision, so the result
         counts as complete only up to the revision of the first page. A watch
         after this revision returns the changes made since then.
+
+        Raises
+        ------
+        StoreHistoryLostError
+            The store was restored between two pages.
         """
         path = f'{RANGE_PATH}?prefix={prefix}'
         page, epoch = self._read_page(path)
         items = list(page.items)
         revision = page.revision
         while page.is_cut:
-            page, _ = self._read_page(f'{path}&after={quote(items[-1].key)}')
+            page, page_epoch = self._read_page(
+                f'{path}&after={quote(items[-1].key)}'
+            )
+            if page_epoch != epoch:
+                raise StoreHistoryLostError(
+                    f'epoch={page_epoch} epoch_of_first_page={epoch}'
+                )
             items.extend(page.items)
         converted = tuple(_convert_item(each) for each in items)
         return PrefixChanges(converted, revision, is_complete=True, epoch=epoch)
--- a/siskinproxy/platform/tests/test_http_store.py
+++ b/siskinproxy/platform/tests/test_http_store.py
@@ -127,6 +127,18 @@
     assert server.requests[1][0].endswith('prefix=&after=servers/i%201')
 
 
+def test_pages_of_two_histories_are_not_joined(serve):
+    """Guards against a list with items from before and after a restore.
+
+    A key that the restored store lacks would stay in it, and no later change
+    would remove it.
+    """
+    page = {'items': [ITEM], 'has_more': True, 'current_rev': 8}
+    _, store = serve((200, page, 1), (200, page | {'has_more': False}, 2))
+    with pytest.raises(StoreHistoryLostError):
+        store.read('')
+
+
 def test_watch_returns_changes_and_removals(serve):
     """Guards against removed keys that are returned as empty values.
 
