Treat targets as lapsed while the store is back from a copy

Callers would see: targets that live get no new flows for up to 2 s after a short outage with a restore.

Cause: an entry that ends counts as lapsed only if contact was lost for more than 1.7 s before. The leases in a copy are as old as the copy, whatever the length of the outage, so entries of live targets can end right after it. Evidence: test_a_target_whose_lease_is_as_old_as_the_copy_stays_in_use fails without the change (only i-1 in use).

Change: a new epoch counts as regained contact.

--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -321,6 +321,9 @@
         self._note_answered(source, confirmed_s, now_s)
         mirror = self._cluster_state.mirror
         epoch = mirror.epoch
+        if mirror.revision and changes.epoch > epoch:
+            # The leases in a copy are as old as the copy.
+            self._regained_s = now_s
         count = self._cluster_state.apply_changes(
             changes,
             now_s,
--- a/siskinproxy/platform/tests/test_restored_store.py
+++ b/siskinproxy/platform/tests/test_restored_store.py
@@ -281,3 +281,13 @@
     found.wait_for(lambda: found.events.named('store_restored'))
     gevent.sleep(0.1)
     assert [each.name for each in found.instances.registered()] == ['i-8']
+
+
+def test_a_target_whose_lease_is_as_old_as_the_copy_stays_in_use(store, start):
+    """Guards against live targets that lapse right after a restore."""
+    found = start()
+    restore(store)
+    found.wait_for(lambda: found.events.named('store_restored'))
+    store.remove(target_item(2)[0])
+    found.wait_for(lambda: found.events.named('target_changed')[2:])
+    assert found.in_use == {'i-1', 'i-2'}
