Let the soak restore the store from copies

Change: a new fault refuses calls for up to 2 s and restores a copy of up to 15 s of age; operators and targets write again, in random order, within about 2 s. Targets number their announcements and state their start. After the run, each process must have the configuration that was written last (config_monotonic), and a test shows that this check fires.

--- a/siskinproxy/soak/records.py
+++ b/siskinproxy/soak/records.py
@@ -26,6 +26,8 @@
 
 SERVICES: Final = ('desk', 'archive')
 _VIRTUAL_PORT: Final = 443
+#: Start that all targets announce; none of them starts again in a run.
+_BORN_UNIX_MS: Final = 1_700_000_000_000
 
 
 class TargetDescription(msgspec.Struct, frozen=True):
@@ -41,12 +43,15 @@
         Address at which it receives packets.
     is_draining : bool
         Whether it accepts no new flows.
+    sequence : int
+        Number of the announcement.
     """
 
     target_id: int
     service: str
     address: Address
     is_draining: bool
+    sequence: int = 1
 
 
 def _virtual_host(service: str) -> str:
@@ -68,7 +73,8 @@
         slots=4,
         state='draining' if target.is_draining else 'ready',
         cold_ms=0,
-        sequence=1,
+        sequence=target.sequence,
+        born=_BORN_UNIX_MS,
     )
     key = f'{TARGETS_PREFIX}i-{target.target_id:x}'
     return key, msgspec.json.encode(entry)
--- a/siskinproxy/soak/run.py
+++ b/siskinproxy/soak/run.py
@@ -16,6 +16,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import closing
 from pathlib import Path
 from typing import Final
 
@@ -23,7 +24,9 @@
 import gevent
 import msgspec
 
+from siskinproxy.entry.http_client import HttpClient
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.status import STATUS_PATH, InstanceStatus
 from siskinproxy.platform.entry_main import SETTINGS_VARIABLE
 from siskinproxy.soak.callers import Caller, Outcome, SoakFabric
 from siskinproxy.soak.proxy import FaultProxy
@@ -51,10 +54,16 @@
 _PEER_PORT: Final = 7703
 _METRICS_PORT: Final = 7704
 _REQUEST_DEADLINE_S: Final = 4.0
+_STATUS_TIMEOUT_S: Final = 2.0
 _START_TIMEOUT_S: Final = 20.0
 #: Time after the last fault until all requests must succeed again, in seconds.
 #: The platform allows 12 to 15 s after a fault of all instances at once.
 _RECOVERY_S: Final = 12.0
+#: Oldest copy from which the store is restored, in seconds.
+_MAX_COPY_AGE_S: Final = 15.0
+#: Time within which operators and targets write again after a restore, about,
+#: in seconds.
+_REWRITE_S: Final = 2.0
 #: Interval at which a starting process is checked for signal handlers.
 _SIGNAL_CHECK_S: Final = 0.005
 #: Requests that are sent after that time; each must be answered.
@@ -163,6 +172,13 @@
         mask = status.partition('SigCgt:')[2].split(maxsplit=1)[0]
         return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
 
+    def fetch_status(self) -> InstanceStatus:
+        """Return the status page of the process."""
+        address = Address(self.host, _METRICS_PORT)
+        with closing(HttpClient(address, _STATUS_TIMEOUT_S)) as client:
+            answer = client.call('GET', STATUS_PATH)
+        return msgspec.json.decode(answer.body, type=InstanceStatus)
+
     def has_exited(self) -> bool:
         """Return whether the process has exited."""
         return self._popen.poll() is not None
@@ -202,6 +218,9 @@
         self._counts: Counter[str] = Counter()
         self._disrupted: set[int] = set()
         self._outcomes: dict[str, Outcome] = {}
+        self._sequences: Counter[int] = Counter()
+        #: What operators and targets have written last, by key.
+        self._written: dict[str, bytes] = {}
         self._targets: list[SoakTarget] = []
 
     def start(self) -> None:
@@ -279,6 +298,7 @@
             self._inject_store_fault,
             self._inject_link_fault,
             self._compact_history,
+            self._restore_store,
         ]
         return (
             on_processes
@@ -342,7 +362,8 @@
         (service_isolation), no request may run twice (at_most_once) or run
         although its flow was reset before it was accepted (truthful_refusal).
         All final requests must be answered (recovery), and all entry processes
-        must still run (process_ended).
+        must still run (process_ended) with the configuration that was written
+        last (config_monotonic).
         """
         runs: Counter[str] = Counter()
         for target in self._targets:
@@ -363,19 +384,36 @@
         for process in self._processes:
             if process.has_exited():
                 self._violations.append(f'process_ended: {process.host}')
+                continue
+            version = process.fetch_status().config_version
+            if version != self._version:
+                self._violations.append(
+                    f'config_monotonic: {process.host} has {version} in force '
+                    f'instead of {self._version}'
+                )
 
     def _announce(
         self, target: SoakTarget, *, is_draining: bool = False
     ) -> None:
+        self._sequences[target.target_id] += 1
         description = TargetDescription(
-            target.target_id, target.service, target.address, is_draining
+            target.target_id,
+            target.service,
+            target.address,
+            is_draining,
+            self._sequences[target.target_id],
         )
-        self._store.put(*target_item(description))
+        self._write(*target_item(description))
 
     def _change_configuration(self) -> None:
         self._faults['configuration'] += 1
         self._version += self._rng.randrange(1, 4)
-        self._store.put(*configuration_item(self._version))
+        self._write(*configuration_item(self._version))
+
+    def _write(self, key: str, value: bytes) -> None:
+        """Write an entry of an operator or target."""
+        self._written[key] = value
+        self._store.put(key, value)
 
     def _claim_process(self) -> tuple[int, _EntryProcess] | None:
         free = [
@@ -447,6 +485,23 @@
         self._faults['history'] += 1
         self._store.compact_history()
 
+    def _restore_store(self) -> None:
+        """Bring the store back from a copy after a short outage.
+
+        Operators and targets write again what the copy lacks.
+        """
+        self._faults['restore'] += 1
+        self._store.mode = 'refuse'
+        gevent.sleep(self._rng.uniform(0.05, 2))
+        self._store.restore(self._rng.uniform(0, _MAX_COPY_AGE_S))
+        self._store.mode = 'up'
+        for key in self._rng.sample(sorted(self._written), len(self._written)):
+            if self._rng.random() < 0.5:
+                gevent.sleep(self._rng.uniform(0, 2 * _REWRITE_S / _TARGETS))
+            stored = self._store.items.get(key)
+            if stored is None or stored.value != self._written[key]:
+                self._store.put(key, self._written[key])
+
     def _drain_target(self) -> None:
         self._faults['drain'] += 1
         target = self._rng.choice(self._targets)
--- a/siskinproxy/soak/tests/test_soak.py
+++ b/siskinproxy/soak/tests/test_soak.py
@@ -42,6 +42,29 @@
     assert [each.split(':')[0] for each in soak._violations] == [violation]
 
 
+def test_an_older_configuration_is_a_violation(tmp_path):
+    """An instance that misses a change after a restore must be a violation."""
+
+    class Process:
+        """Process that runs with version 3."""
+
+        host = '127.0.0.1'
+        config_version = 3
+
+        def has_exited(self):
+            return False
+
+        def fetch_status(self):
+            return self
+
+    soak = Soak(1, tmp_path)
+    soak._processes = [Process()]
+    for version, count in ((3, 0), (4, 1)):
+        soak._version = version
+        soak._check_invariants(recovered=60)
+        assert len(soak._violations) == count
+
+
 def test_missing_recovery_is_a_violation(tmp_path):
     """A request that fails after the recovery time must be a violation.
 
