Restore the target list from copies in the emulator

Change: the list is an EmulatedStore with revisions, epochs and copies, and instances apply its answers through the product's ClusterState. New fault store_restored with the age of the copy. A starting instance still gets the entries of the live targets.

The new test holds on three ages of the copy.

--- a/siskinproxy/emulator/day.py
+++ b/siskinproxy/emulator/day.py
@@ -28,6 +28,7 @@
     'instances_die',
     'zone_cut',
     'burst',
+    'store_restored',
 ]
 
 
@@ -113,7 +114,8 @@
         an orderly way and start again, one after the other.
         ``instances_die``: instances are killed, all at once, and start again
         later. ``zone_cut``: a zone exchanges no packets with other zones.
-        ``burst``: callers send more requests.
+        ``burst``: callers send more requests. ``store_restored``: the store is
+        away, then comes back from a copy of the target list.
     at_s, for_s : float
         Start and duration, in seconds. For ``targets_restart`` the duration
         is the time for which each target is down; ``instances_stop`` ignores
@@ -130,6 +132,9 @@
     zone : str
         Zone that is isolated from the other zones (``zone_cut``), or whose
         targets end (``zone_targets_end``).
+    age_s : float
+        Age of the copy from which the store is restored, in seconds
+        (``store_restored``).
     """
 
     kind: FaultKind
@@ -139,6 +144,7 @@
     factor: float = 1
     gap_s: float = 0
     zone: str = ''
+    age_s: float = 0
 
 
 class ScoreWeights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/siskinproxy/emulator/emulation.py
+++ b/siskinproxy/emulator/emulation.py
@@ -12,6 +12,7 @@
 from siskinproxy.emulator.faults import apply_fault
 from siskinproxy.emulator.instances import EmulatedInstance, destination_of
 from siskinproxy.emulator.policies import Policy
+from siskinproxy.emulator.store import EmulatedStore
 from siskinproxy.emulator.targets import (
     HEARTBEAT_INTERVAL_S,
     MISSED_HEARTBEAT_LIMIT,
@@ -24,6 +25,7 @@
 from siskinproxy.entry.packets import FIN, RST, SYN, PacketHeader
 from siskinproxy.entry.records import Address, token_of
 from siskinproxy.entry.responsiveness import CheckOutcome
+from siskinproxy.entry.store import PrefixChanges
 from siskinproxy.entry.target_check import CHECK_TIMEOUT_S
 
 __all__ = ('Emulation', 'emulate')
@@ -48,6 +50,8 @@
 #: in which a target answers a check, in seconds.
 EVIDENCE_DELAY_S: Final = 0.006
 CHECK_WORK_S: Final = 0.002
+#: Interval at which instances look for entries that lapse, in seconds.
+EXPIRY_INTERVAL_S: Final = 0.5
 #: Time after the last request for which the emulation continues, in seconds, so
 #: that late answers still count.
 FINAL_WAIT_S: Final = 6.0
@@ -82,6 +86,8 @@
         Factor of the request rate; above 1 during a burst.
     isolated_zones : set of str
         Zones that cannot exchange packets with other zones.
+    is_store_down : bool
+        Whether the store is away.
     checks, evidence_sent : int
         Checks of targets, and datagrams with evidence between instances.
     targets : list of EmulatedTarget
@@ -96,6 +102,7 @@
         self.outcomes: list[Outcome] = []
         self.rate_factor: float = 1
         self.isolated_zones: set[str] = set()
+        self.is_store_down = False
         self._day = day
         self._policy = policy
         self._caller_rng = random.Random(f'callers {seed}')
@@ -106,6 +113,9 @@
         self.checks = 0
         self.evidence_sent = 0
         self.targets = self._build_targets()
+        self._store = EmulatedStore(self.clock)
+        for target in self.targets:
+            self._store.write(target.record())
         self._targets_by_address = {each.address: each for each in self.targets}
         self.instances = self._build_instances()
         self._instance_records = tuple(each.record for each in self.instances)
@@ -114,8 +124,9 @@
     def run(self) -> None:
         """Run the scenario to its end."""
         for instance in self.instances:
-            instance.start(self.targets, self._instance_records)
+            instance.start(self._store.read(), self._instance_records)
         self._probe_instances()
+        self._expire_entries()
         for zone, rate in zip(
             self._day.zones, self._day.requests_per_s, strict=True
         ):
@@ -170,6 +181,32 @@
             for_s + PROCESS_START_S, self._start_instance, instance
         )
 
+    def restore_store(self, for_s: float, age_s: float) -> None:
+        """Take the store away, and restore it from a copy.
+
+        Parameters
+        ----------
+        for_s : float
+            Duration of the outage, in seconds.
+        age_s : float
+            Age of the copy at the end of the outage, in seconds.
+        """
+        self.is_store_down = True
+        self.clock.call_after(for_s, self._return_store, age_s)
+
+    def _return_store(self, age_s: float) -> None:
+        """End the outage; targets write again, or their entries end."""
+        self.is_store_down = False
+        self._store.restore(age_s)
+        self._pass_on(self._store.read())
+        for target in self.targets:
+            if target.is_unresponsive:
+                silence_s = MISSED_HEARTBEAT_LIMIT * HEARTBEAT_INTERVAL_S
+                self.clock.call_after(silence_s, self._schedule_removal, target)
+            else:
+                delay_s = self.rng.uniform(0, HEARTBEAT_INTERVAL_S)
+                self.clock.call_after(delay_s, self._add_to_directories, target)
+
     # Checks and evidence
 
     def check(self, instance: EmulatedInstance, target: KnownTarget) -> None:
@@ -330,8 +367,12 @@
         self.clock.call_after(REPORT_INTERVAL_S, self._exchange_reports)
 
     def _start_instance(self, instance: EmulatedInstance) -> None:
-        known = [each for each in self.targets if not each.is_unresponsive]
-        instance.start(known, self._instance_records)
+        """Start an instance with the current entries of the live targets."""
+        live = [each for each in self.targets if not each.is_unresponsive]
+        for target in live:
+            self._store.write(target.record())
+        listed = self._store.read({each.record().name for each in live})
+        instance.start(listed, self._instance_records)
 
     def _is_partitioned(self, zone_a: str, zone_b: str) -> bool:
         return zone_a != zone_b and bool(self.isolated_zones & {zone_a, zone_b})
@@ -400,11 +441,8 @@
         )
 
     def _remove_from_directories(self, target: EmulatedTarget) -> None:
-        for instance in self.instances:
-            if instance.is_up and target.is_unresponsive:
-                instance.directory.withdraw(
-                    f'i-{target.number:x}', self.clock.now_s, may_return=False
-                )
+        if target.is_unresponsive:
+            self._pass_on(self._store.remove(f'i-{target.number:x}'))
 
     def _restore_target(self, target: EmulatedTarget) -> None:
         target.is_unresponsive = False
@@ -414,9 +452,19 @@
         )
 
     def _add_to_directories(self, target: EmulatedTarget) -> None:
+        if not target.is_unresponsive:
+            self._pass_on(self._store.write(target.record()))
+
+    def _pass_on(self, changes: PrefixChanges) -> None:
+        if self.is_store_down:
+            return
+        for instance in self.instances:
+            instance.on_list(changes)
+
+    def _expire_entries(self) -> None:
         for instance in self.instances:
-            if instance.is_up and not target.is_unresponsive:
-                instance.directory.announce(target.record(), self.clock.now_s)
+            instance.expire()
+        self.clock.call_after(EXPIRY_INTERVAL_S, self._expire_entries)
 
 
 def emulate(day: Day, policy: Policy, seed: int) -> Emulation:
--- a/siskinproxy/emulator/faults.py
+++ b/siskinproxy/emulator/faults.py
@@ -85,6 +85,10 @@
     )
 
 
+def _restore_store(emulation: Any, fault: Fault) -> None:
+    emulation.restore_store(fault.for_s, fault.age_s)
+
+
 _INJECTORS: Final[Mapping[str, _Injector]] = {
     'targets_silent': _fail_targets,
     'zone_targets_end': _end_zone_targets,
@@ -94,4 +98,5 @@
     'instances_die': _kill_instances,
     'zone_cut': _isolate_zone,
     'burst': _start_burst,
+    'store_restored': _restore_store,
 }
--- a/siskinproxy/emulator/instances.py
+++ b/siskinproxy/emulator/instances.py
@@ -1,17 +1,18 @@
 """Load balancer instances: the product's engine run in virtual time."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from siskinproxy.emulator.clock import VirtualClock
 from siskinproxy.emulator.day import Day
 from siskinproxy.emulator.policies import Policy
-from siskinproxy.emulator.targets import EmulatedTarget
+from siskinproxy.emulator.store import decode_target
+from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
 from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
 from siskinproxy.entry.engine import EntryEngine
 from siskinproxy.entry.evidence import EvidenceReport
-from siskinproxy.entry.instances import InstanceRecord
+from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
 from siskinproxy.entry.load_view import LoadReport, LoadView
 from siskinproxy.entry.packets import RST, PacketHeader
 from siskinproxy.entry.records import (
@@ -23,6 +24,7 @@
 )
 from siskinproxy.entry.responsiveness import CheckOutcome, Responsiveness
 from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.store import PrefixChanges
 
 __all__ = (
     'DetectionNetwork',
@@ -162,15 +164,15 @@
 
     def start(
         self,
-        targets: Iterable[EmulatedTarget],
+        listed: PrefixChanges,
         instances: tuple[InstanceRecord, ...],
     ) -> None:
         """Start the process without state from an earlier run.
 
         Parameters
         ----------
-        targets : iterable of EmulatedTarget
-            Targets that are listed at this time.
+        listed : PrefixChanges
+            Target list of the store.
         instances : tuple of InstanceRecord
             All instances.
         """
@@ -180,10 +182,16 @@
         self.is_ready = True
         self._timer_s = None
         self.directory = TargetDirectory()
-        for target in targets:
-            self.directory.announce(target.record(), self._clock.now_s)
         routes = RouteTable()
         routes.apply(build_configuration(self._day), self._clock.now_s)
+        self._cluster_state = ClusterState(
+            StoreSchema('', decode_target),
+            self.directory,
+            routes,
+            InstanceDirectory(),
+            _NullEventLog(),
+        )
+        self.on_list(listed)
         self.loads = LoadView()
         cold_limit = ColdLimit(self.name, ColdBounds())
         cold_limit.set_instances(tuple(each.name for each in instances))
@@ -215,6 +223,25 @@
         """Send a header; the engine calls it to send a packet."""
         self._send(self, address, datagram)
 
+    def on_list(self, changes: PrefixChanges) -> None:
+        """Apply the target list, or a change of it, unless the process is down.
+
+        Parameters
+        ----------
+        changes : PrefixChanges
+            Answer of the store.
+        """
+        if self.is_up:
+            self._cluster_state.apply_changes(
+                changes, self._clock.now_s, source='store'
+            )
+
+    def expire(self) -> None:
+        """Do the periodic work on targets that lapsed or are held back."""
+        if self.is_up:
+            self._cluster_state.expire(self._clock.now_s)
+            self.directory.expire(self._clock.now_s)
+
     def on_packet(self, head: PacketHeader) -> None:
         """Handle a packet from the fabric."""
         if self.is_up:
--- a/siskinproxy/emulator/tests/test_world.py
+++ b/siskinproxy/emulator/tests/test_world.py
@@ -145,3 +145,20 @@
         subprocess.run([sys.executable, '-c', code], check=False).returncode
         == 0
     )
+
+
+@pytest.mark.parametrize('age_s', [2.0, 6.0, 20.0])
+def test_a_restored_store_costs_callers_nothing(age_s):
+    """Targets that left or came after the copy must be used as before.
+
+    An instance that takes the copy as it is opens flows at targets that are
+    down, and uses fewer targets than there are.
+    """
+    restarts = Fault('targets_restart', 3.0, for_s=3.0, share=0.4, gap_s=1.0)
+    ends = Fault('targets_silent', 6.0, for_s=20.0, share=0.2)
+    restored = Fault('store_restored', 10.5, for_s=1.0, age_s=age_s)
+    calm = day(length_s=20.0, faults=(restarts, ends))
+    drill = day(length_s=20.0, faults=(restarts, ends, restored))
+    expected = score(calm)
+    assert score(drill).worth > expected.worth - 0.01
+    assert score(drill).answered >= expected.answered - 2
