Report a head under a version that was used before

Cause: HeadReader compared versions only, and its watch asks for another version than the known one. A restored store gives versions out again.

Change: heads are compared by value and version, and the first watch after a failed one asks from version 0, so that it is answered at once. A restore is an outage for the watch. MemoryStore can be restored from the copy of any earlier state, with versions and lease ids given out again.

Test: test_a_head_under_a_version_used_before_is_reported; without the change it reports the lost head with the same version. No more calls without a failure.

Open: the platform of the own interface states no epoch, so a compare-and-swap that arrives late can find an expected version of the lost history.

--- a/siskinproxy/standins/memory_store.py
+++ b/siskinproxy/standins/memory_store.py
@@ -7,9 +7,9 @@
 """
 
 import json
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Final, Literal
 
 from siskinproxy.errors import (
@@ -32,6 +32,9 @@
 #: Prefix of the keys of the platform's list of instances.
 INSTANCES_PREFIX: Final = 'platform/instances/'
 
+#: Earlier states that are kept, one for each write and lease.
+_MAX_COPIES: Final = 200
+
 #: Methods that count against the rate limit of writes; all others count
 #: against that of reads.
 WRITE_CALLS: Final = frozenset(
@@ -136,11 +139,23 @@
     expires_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """State of the store after a change."""
+
+    taken_s: float
+    entries: dict[str, _Entry]
+    leases: dict[int, _Lease]
+    revision: int
+    last_lease_id: int
+
+
 class MemoryStore:
     """Key-value store in memory, with leases and rate limits.
 
     Each change of a key increments the revision of the store, and the new
-    revision is the version of the key. Versions are not used again.
+    revision is the version of the key. Versions are not used again, except
+    after `restore`.
 
     Parameters
     ----------
@@ -168,6 +183,42 @@
         # the key.
         self._pending_changes: list[tuple[float, str, bytes]] = []
         self._listeners: set[Callable[[], None]] = set()
+        self._copies: deque[_Copy] = deque(maxlen=_MAX_COPIES)
+        self._take_copy(0)
+
+    def restore(self, age_s: float, now_s: float) -> None:
+        """Return to the state of some seconds ago.
+
+        Later changes are lost, and their versions and lease ids are given out
+        again.
+
+        Parameters
+        ----------
+        age_s : float
+            Age of the copy in seconds.
+        now_s : float
+            Current time in seconds.
+        """
+        while len(self._copies) > 1 and (
+            self._copies[-1].taken_s > now_s - age_s
+        ):
+            self._copies.pop()
+        copy = self._copies[-1]
+        self._entries = dict(copy.entries)
+        self._leases = {key: replace(each) for key, each in copy.leases.items()}
+        self._revision = copy.revision
+        self._last_lease_id = copy.last_lease_id
+
+    def _take_copy(self, now_s: float) -> None:
+        self._copies.append(
+            _Copy(
+                now_s,
+                dict(self._entries),
+                {key: replace(each) for key, each in self._leases.items()},
+                self._revision,
+                self._last_lease_id,
+            )
+        )
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a function without arguments after each change of a key."""
@@ -254,6 +305,7 @@
         if found != expected_version:
             raise StoreConflictError(key, expected_version, found)
         self._write(key, value, lease_id)
+        self._take_copy(now_s)
         return KeyValue(value, self._revision)
 
     def list(
@@ -274,6 +326,7 @@
         self._apply_due_changes(now_s)
         self._last_lease_id += 1
         self._leases[self._last_lease_id] = _Lease(ttl_s, now_s + ttl_s)
+        self._take_copy(now_s)
         return self._last_lease_id
 
     def keep_alive(self, lease_id: int, now_s: float) -> None:
--- a/siskinproxy/store/head_reader.py
+++ b/siskinproxy/store/head_reader.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from siskinproxy.errors import StoreError
-from siskinproxy.store.client import KeyValue, KeyValueClient
+from siskinproxy.store.client import ABSENT, KeyValue, KeyValueClient
 from siskinproxy.store.head import head_key
 from siskinproxy.store.reader_role import (
     ClaimSlot,
@@ -55,8 +55,8 @@
     name : str
         Name of the instance.
     on_head : callable
-        Called with the value of the head key when its version differs from the
-        last one reported; for the first time when the instance has become a
+        Called with the value of the head key when the value or its version
+        differs from the last one reported; for the first time when the instance has become a
         reader and the head exists.
     rng : random.Random
         Random source for the jitter of delays.
@@ -87,7 +87,8 @@
         self._role: ReaderRole | None = None
         self._role_task: asyncio.Task[None] | None = None
         self._watch_task: asyncio.Task[None] | None = None
-        self._version = 0
+        self._watched_version = 0
+        self._reported = ABSENT
 
     @property
     def is_reader(self) -> bool:
@@ -205,6 +206,8 @@
             try:
                 found = await self._watch()
             except StoreError:
+                # A restored store may use the version again for another head.
+                self._watched_version = 0
                 await asyncio.sleep(self._watch_delay_s(failures))
                 failures += 1
             else:
@@ -214,7 +217,7 @@
     async def _watch(self) -> KeyValue:
         return await self._client.watch(
             head_key(self._region),
-            self._version,
+            self._watched_version,
             WATCH_TIMEOUT_S,
         )
 
@@ -240,8 +243,9 @@
             return
         # A renewal that was sent during the watch is the later contact.
         self.last_contact_s = max(self.last_contact_s or sent_s, sent_s)
-        if found.version != self._version:
-            self._version = found.version
+        self._watched_version = found.version
+        if found != self._reported:
+            self._reported = found
             self._on_head(found)
 
 
--- a/siskinproxy/store/tests/test_head_reader.py
+++ b/siskinproxy/store/tests/test_head_reader.py
@@ -231,3 +231,32 @@
             await asyncio.wait_for(reader.wait(), 60)
 
     run_in_virtual_time(scenario())
+
+
+def test_a_head_under_a_version_used_before_is_reported():
+    """Guards against a change that a restored store hides.
+
+    The restore loses the head that the readers saw last, and the next head gets
+    its version.
+    """
+
+    async def scenario():
+        async with running('a', 2) as fleet:
+            await asyncio.sleep(60)
+            now_s = asyncio.get_running_loop().time
+            before = fleet.write_head(b'one')
+            await asyncio.sleep(0.4)
+            lost = fleet.write_head(b'two')
+            await asyncio.sleep(0.4)
+            fleet.store.faults.outage = True
+            await asyncio.sleep(0.3)
+            fleet.store.restore(0.9, now_s())
+            assert fleet.store.get(head_key(REGION), now_s()) == before
+            written = fleet.write_head(b'three')
+            assert written.version == lost.version
+            fleet.store.faults.outage = False
+            await asyncio.sleep(9)
+            for name in fleet.acting():
+                assert fleet.seen[name][-1] == written
+
+    run_in_virtual_time(scenario())
