Write an accepted configuration back to a restored store

Operators would see: a change that was accepted is gone from the store of the own interface after a restore, the next change is refused with a conflict or gets a generation that the instances have in force with another content, and then no change comes into force (invariant config_monotonic, retried without end).

Cause: a generation in the store counted as the newest one. Instances ignored a lower generation, as they must, but nobody told the store. Class: what the store holds is taken for newer than what is known.

Evidence: test_an_accepted_change_outlives_a_restore_of_the_store (two control processes, real store process): without the change the store keeps generation 1 for the 9 s of the target, and a change on generation 2 is refused. test_no_change_is_based_on_a_restored_older_configuration: without it a command is accepted as generation 2 for the second time (zone and drain).

Change: an instance keeps the head that it has in force with its sections. A reader that finds an older head writes the sections and, by compare-and-swap, the newer head. An instance that executes a change does so before it reads the base of the change.

Why this works: heads of one generation are equal, so readers that race write the same; the swap fails if a change was accepted meanwhile.

Ruled out: applying the older head (an accepted change would revert), an epoch in front of the generation (the lost changes would stay lost).

Open: a change that is submitted through an instance without a configuration, before any other one has written back, is accepted on the older head; its generation is then lower than the one in force, and it is replaced.

--- a/siskinproxy/balancer/control_engine.py
+++ b/siskinproxy/balancer/control_engine.py
@@ -42,6 +42,7 @@
 from siskinproxy.instances.reachability import REACHABLE_S
 from siskinproxy.operators.configuration import Configuration
 from siskinproxy.operators.progress import InstanceState
+from siskinproxy.store.restoration import AcceptedHead
 
 __all__ = (
     'ConfigurationCodec',
@@ -145,6 +146,7 @@
     ) -> None:
         self.membership = Membership(identity, rng, seeds, now_s)
         self.configuration = ConfigurationState()
+        self.accepted: AcceptedHead | None = None
         self.transfer = ConfigurationTransfer(
             rng,
             codec.digest_of,
@@ -467,6 +469,7 @@
         )
         self._snapshot_wanted = True
         if result.outcome == 'applied':
+            self.accepted = AcceptedHead(candidate.generation, head, sections)
             self.transfer.serve(candidate.generation, head, sections)
             step = self.membership.set_configuration(
                 candidate.generation,
--- a/siskinproxy/balancer/control_process.py
+++ b/siskinproxy/balancer/control_process.py
@@ -272,6 +272,7 @@
             view,
             lambda: self._store,
             self._log,
+            accepted=lambda: self.engine.accepted,
         )
 
     async def _start_store(self) -> None:
--- a/siskinproxy/balancer/store_source.py
+++ b/siskinproxy/balancer/store_source.py
@@ -20,6 +20,7 @@
 from siskinproxy.store.client import KeyValue, KeyValueClient
 from siskinproxy.store.head import decode_head, fetch_sections, head_key
 from siskinproxy.store.head_reader import HeadReader
+from siskinproxy.store.restoration import write_back
 
 __all__ = ('ListedInstance', 'StoreSource')
 
@@ -179,7 +180,11 @@
             await asyncio.sleep(FIRST_RETRY_DELAY_S)
 
     async def _apply(self, found: KeyValue, read_s: float) -> None:
-        head = decode_head(self._identity.region, found)
+        region = self._identity.region
+        head = decode_head(region, found)
+        if await write_back(self._client, region, found, self._engine.accepted):
+            self._log.warning('older_head_replaced', generation=head.generation)
+            return
         if not head.generation:
             return
         known = {
--- a/siskinproxy/balancer/tests/test_control_process.py
+++ b/siskinproxy/balancer/tests/test_control_process.py
@@ -24,6 +24,7 @@
 )
 from siskinproxy.standins.memory_store import Faults, MemoryStore
 from siskinproxy.standins.store import FakeKeyValueClient, StoreServer
+from siskinproxy.store.head import decode_head, head_key
 from siskinproxy.store.results import Accepted
 from siskinproxy.store.submission import submit
 
@@ -181,6 +182,16 @@
         )
         assert isinstance(self.run(call), Accepted)
 
+    def restore(self, age_s):
+        """Bring the store back from a copy after an outage of a moment."""
+        self.set_outage(True)
+        self._store.restore(age_s, time.monotonic())
+        self.set_outage(False)
+
+    def stored_generation(self):
+        found = self._store.get(head_key('alfold'), time.monotonic())
+        return decode_head('alfold', found).generation
+
     def set_outage(self, outage):
         self.run(self._server.set_faults(Faults(outage=outage)))
 
@@ -261,6 +272,33 @@
         wait_for_names(instance, ['i1', 'i2', 'i4'], limit_s=4)
 
 
+def test_an_accepted_change_outlives_a_restore_of_the_store(
+    instances, platform
+):
+    """Guards against an accepted change that a restored store has lost.
+
+    The next change would be based on the older configuration, and would get a
+    generation that the instances have in force with another content.
+    """
+    platform.submit(make_configuration(), 0)
+    region = start_region(instances, platform, [('i1', 'a'), ('i2', 'b')])
+    for instance in region:
+        wait_for_names(instance, ['i1', 'i2'])
+    time.sleep(1)
+    platform.submit(make_configuration(slots=9), 1)
+    for instance in region:
+        wait_for_generation(instance, 2, limit_s=9)
+    platform.restore(age_s=1)
+    assert platform.stored_generation() == 1
+    region[0].wait_until(lambda: platform.stored_generation() == 2, limit_s=9)
+    platform.submit(make_configuration(slots=5), 2)
+    for instance in region:
+        wait_for_generation(instance, 3, limit_s=9)
+        assert instance.packet.snapshots[-1].configuration == (
+            make_configuration(slots=5)
+        )
+
+
 def test_start_during_an_outage_is_provisional(instances, platform):
     """Guards against an instance that cannot start without the store.
 
--- a/siskinproxy/operators/admin_setup.py
+++ b/siskinproxy/operators/admin_setup.py
@@ -11,6 +11,7 @@
 from siskinproxy.operators.validation import validate
 from siskinproxy.store.client import KeyValueClient
 from siskinproxy.store.options import SubmitOptions
+from siskinproxy.store.restoration import AcceptedHead
 
 __all__ = ('make_admin_server',)
 
@@ -20,6 +21,7 @@
     view: AdminView,
     store: Callable[[], KeyValueClient | None],
     log: EventLog,
+    accepted: Callable[[], AcceptedHead | None],
 ) -> AdminServer:
     """Return the server of the administration interface, not yet started.
 
@@ -33,6 +35,9 @@
         Returns the client of the store; None if the settings name no store.
     log : EventLog
         Log of changes and of rejected calls.
+    accepted : callable
+        Returns the newest head that the instance knows to have been accepted,
+        None if there is none.
 
     Returns
     -------
@@ -44,6 +49,8 @@
         validate=partial(validate, address_reuse_delay_s=delay_s),
         retire=partial(retire, address_reuse_delay_s=delay_s),
     )
-    executor = ChangeExecutor(cfg.instance.region, store, log, options)
+    executor = ChangeExecutor(
+        cfg.instance.region, store, log, options, accepted=accepted
+    )
     service = AdminService(cfg.admin.token, view, executor, log)
     return AdminServer(service, cfg.instance.address, cfg.admin.port)
--- a/siskinproxy/operators/changes.py
+++ b/siskinproxy/operators/changes.py
@@ -41,6 +41,7 @@
     head_key,
 )
 from siskinproxy.store.options import SubmitOptions
+from siskinproxy.store.restoration import AcceptedHead, write_back
 from siskinproxy.store.results import (
     Accepted,
     Conflict,
@@ -253,6 +254,9 @@
         Hooks, such as the validation, and retries of submissions.
     now_unix_s : callable
         Returns the current time in seconds since the Unix epoch.
+    accepted : callable
+        Returns the newest head that this instance knows to have been accepted,
+        None if there is none. Without it, no head is written back.
     """
 
     def __init__(
@@ -262,7 +266,9 @@
         log: EventLog,
         options: SubmitOptions | None = None,
         now_unix_s: Callable[[], float] = time.time,
+        accepted: Callable[[], AcceptedHead | None] | None = None,
     ) -> None:
+        self._accepted = accepted
         self._region = region
         self._store = store
         self._log = log
@@ -284,7 +290,19 @@
         return client
 
     async def read(self) -> StoredConfiguration:
-        """Read the configuration of the region from the store."""
+        """Read the configuration of the region from the store.
+
+        If the store was restored from an older copy, the newer configuration is
+        written back first, so that no change is based on the older one.
+        """
+        stored = await read_stored_configuration(self.client, self._region)
+        accepted = None if self._accepted is None else self._accepted()
+        generation = stored.head.generation
+        if accepted is None or generation >= accepted.generation:
+            return stored
+        found = await self.client.get(head_key(self._region))
+        if await write_back(self.client, self._region, found, accepted):
+            self._log.warning('older_head_replaced', generation=generation)
         return await read_stored_configuration(self.client, self._region)
 
     def validate(
--- a/siskinproxy/operators/tests/test_changes.py
+++ b/siskinproxy/operators/tests/test_changes.py
@@ -1,8 +1,11 @@
+import asyncio
+
 import pytest
 from msgspec.structs import replace
 
 from siskinproxy.operators import with_target_draining, with_zone_in_service
 from siskinproxy.operators.changes import (
+    ChangeExecutor,
     DrainChange,
     SubmitChange,
     Unchanged,
@@ -12,6 +15,8 @@
 from siskinproxy.operators.tests import admin_region, samples
 from siskinproxy.standins.store import FakeKeyValueClient, MemoryStore
 from siskinproxy.standins.virtual_time import run_in_virtual_time
+from siskinproxy.store.head import decode_head, fetch_sections, head_key
+from siskinproxy.store.restoration import AcceptedHead
 from siskinproxy.store.results import (
     Accepted,
     Conflict,
@@ -188,3 +193,45 @@
         assert second.outcome == Conflict(1, 2)
 
     run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize(
+    ('change', 'expected'), list(CHANGES.values())[1:], ids=list(CHANGES)[1:]
+)
+def test_no_change_is_based_on_a_restored_older_configuration(change, expected):
+    """Guards against a generation that is accepted twice, and a lost change."""
+
+    async def scenario():
+        store = await _store_with_configuration()
+        client = FakeKeyValueClient(store)
+        now_s = asyncio.get_running_loop().time
+        region = admin_region.REGION
+        first = admin_region.make_executor(client, admin_region.RecordingLog())
+        await asyncio.sleep(5)
+        lost = await first.execute(CHANGES['submit'][0], 'ana', 'lost')
+        assert lost.outcome == Accepted(2)
+        head = await client.get(head_key(region))
+        sections: dict[bytes, bytes] = {}
+        await fetch_sections(client, decode_head(region, head), sections)
+        accepted = AcceptedHead(2, head.value, sections)
+        store.restore(1, now_s())
+        executor = ChangeExecutor(
+            region,
+            lambda: client,
+            admin_region.RecordingLog(),
+            accepted=lambda: accepted,
+        )
+        result = await executor.execute(change, 'ildiko', 'x')
+        assert result.outcome == Accepted(3)
+        running = await read_stored_configuration(client, region)
+        slots = {
+            each.name: each.slots
+            for service in running.configuration.services
+            for each in service.targets
+        }
+        assert slots['desk-1'] == 9
+        assert [zone.in_service for zone in running.configuration.zones] == [
+            zone.in_service for zone in expected.zones
+        ]
+
+    run_in_virtual_time(scenario())
