--- a/siskinproxy/balancer/tests/test_control_process.py
+++ b/siskinproxy/balancer/tests/test_control_process.py
@@ -284,11 +284,11 @@
     region = start_region(instances, platform, [('i1', 'a'), ('i2', 'b')])
     for instance in region:
         wait_for_names(instance, ['i1', 'i2'])
-    time.sleep(1)
+    copied_s = time.monotonic()
     platform.submit(make_configuration(slots=9), 1)
     for instance in region:
         wait_for_generation(instance, 2, limit_s=9)
-    platform.restore(age_s=1)
+    platform.restore(time.monotonic() - copied_s)
     assert platform.stored_generation() == 1
     region[0].wait_until(lambda: platform.stored_generation() == 2, limit_s=9)
     platform.submit(make_configuration(slots=5), 2)
