Restore the store of a process test to a point in time

Causes, both of the test: it read the store after the outage had ended, when a reader may have written the accepted head back within milliseconds; and the age of the copy was taken before the outage began, so that a copy that was too young by the time of closing the port counted as old enough.

Change: the generation in the copy is read while the store is away, and the store returns to its state at a point in time.

--- a/siskinproxy/balancer/tests/test_control_process.py
+++ b/siskinproxy/balancer/tests/test_control_process.py
@@ -182,11 +182,13 @@
         )
         assert isinstance(self.run(call), Accepted)
 
-    def restore(self, age_s):
-        """Bring the store back from a copy after an outage of a moment."""
+    def restore(self, copied_s):
+        """Bring the store back as it was; return the generation in it."""
         self.set_outage(True)
-        self._store.restore(age_s, time.monotonic())
+        self._store.restore(0, copied_s)
+        found = self.stored_generation()
         self.set_outage(False)
+        return found
 
     def stored_generation(self):
         found = self._store.get(head_key('alfold'), time.monotonic())
@@ -288,8 +290,7 @@
     platform.submit(make_configuration(slots=9), 1)
     for instance in region:
         wait_for_generation(instance, 2, limit_s=9)
-    platform.restore(time.monotonic() - copied_s)
-    assert platform.stored_generation() == 1
+    assert platform.restore(copied_s) == 1
     region[0].wait_until(lambda: platform.stored_generation() == 2, limit_s=9)
     platform.submit(make_configuration(slots=5), 2)
     for instance in region:
