Split the engine into forwarding, openings and counting

Flows are counted in one place, so an opened flow starts uncounted until the counter takes it.

Ruled out: a mix-in class, since its state would stay shared.

--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -1,24 +1,21 @@
 """Packet handling of an entry process, independent of sockets and clocks.
 
-Callers open a flow with an opening packet (SYN), which the engine forwards to
-a target of its choice or holds back while all targets are busy. Targets send
-their packets to callers directly, not through the instances, so the engine
-sees only what callers send: an opening counts as answered once a later packet
-of the caller returns the token of the target. Packets of established flows are
-forwarded by that token and need no state of the flow.
+Callers open a flow with an opening packet (SYN), see
+`siskinproxy.entry.openings`. Targets send their packets to callers directly,
+not through the instances, so the engine sees only what callers send. Packets of
+established flows are forwarded by the token of their target and need no state
+of the flow.
 """
 
-import math
 import zlib
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterable
-from typing import Any, Final, Protocol
-
-import msgspec
 
+from siskinproxy.entry.counting import FlowCounter
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
 from siskinproxy.entry.flows import FlowTable, OpenedFlow
 from siskinproxy.entry.metrics import Histogram
+from siskinproxy.entry.openings import FlowOpener
 from siskinproxy.entry.packets import (
     FIN,
     RST,
@@ -26,93 +23,17 @@
     PacketCodec,
     PacketHeader,
 )
-from siskinproxy.entry.records import NO_TOKEN, Address
+from siskinproxy.entry.ports import EventSink, Outbox
+from siskinproxy.entry.records import NO_TOKEN
 from siskinproxy.entry.responsiveness import Responsiveness
-from siskinproxy.entry.routes import ActiveRoute, RouteTable
-from siskinproxy.entry.target_selection import (
-    FULL_LOAD,
-    Placement,
-    PlacementReason,
-    Placer,
-)
-from siskinproxy.entry.waiting_queue import WaitingOpening, WaitingOpenings
+from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.target_selection import Placer
+from siskinproxy.entry.timing import EngineTiming
+from siskinproxy.entry.waiting_queue import WaitingOpenings
 
 __all__ = ('EngineTiming', 'EntryEngine', 'EventSink', 'Outbox')
 
 
-class Outbox(Protocol):
-    """Sender of the engine's datagrams."""
-
-    def send(self, address: Address, datagram: bytes) -> None:
-        """Send a datagram; one that can't be sent is dropped without error."""
-
-
-class EventSink(Protocol):
-    """Log of the engine's decisions."""
-
-    def event(self, name: str, /, **pairs: Any) -> None:
-        """Log a decision under a name, with its key-value pairs."""
-
-
-class EngineTiming(msgspec.Struct, frozen=True):
-    """Timeouts and intervals of the engine.
-
-    Parameters
-    ----------
-    min_answer_timeout_s : float
-        Lower limit of the answer timeout, in seconds.
-    max_answer_timeout_s : float
-        Upper limit of the answer timeout, in seconds; less than the 200 ms
-        after which callers retransmit their opening packet.
-    answer_timeout_factor : float
-        Answer timeout as a multiple of the mean time to an answer.
-    pause_s : float
-        Delay of a timer, in seconds, from which on the process counts as
-        paused. Answers that it could not read meanwhile are no evidence that
-        targets are unresponsive.
-    waiting_check_s : float
-        Interval at which waiting openings are checked, in seconds; they are
-        also checked whenever a flow ends.
-    min_counting_timeout_s : float
-        Lower limit of the time for which a flow counts as in progress if its
-        closing packet is not seen, in seconds.
-    flow_grace_s : float
-        Time after the deadline of a request at which the state of its flow is
-        deleted, in seconds.
-    zone_out_s : float
-        Time after a zone is taken out of service from which on no packet is
-        forwarded to it, in seconds.
-    removed_route_s : float
-        Time for which packets of open flows are still forwarded after their
-        route was removed, in seconds.
-    """
-
-    min_answer_timeout_s: float = 0.03
-    max_answer_timeout_s: float = 0.15
-    answer_timeout_factor: float = 4.0
-    pause_s: float = 0.25
-    waiting_check_s: float = 0.02
-    min_counting_timeout_s: float = 0.25
-    flow_grace_s: float = 1.0
-    zone_out_s: float = 4.0
-    removed_route_s: float = 2.0
-
-
-#: Weight of a new sample in the moving average of the time to an answer.
-_ANSWER_WEIGHT: Final = 1 / 16
-#: Initial value of that average, in seconds.
-_INITIAL_MEAN_ANSWER_S: Final = 0.02
-#: Weight of a new sample in the moving average of the duration of flows.
-_DURATION_WEIGHT: Final = 1 / 16
-#: Initial value of that average, in seconds.
-_INITIAL_MEAN_DURATION_S: Final = 0.1
-#: Time for which a flow counts as in progress if its closing packet is not
-#: seen, as a multiple of the mean duration. After a change of the fabric,
-#: closing packets pass through another instance, and slots must not stay
-#: occupied by flows that have ended.
-_COUNTED_DURATION_FACTOR: Final = 3
-
-
 class EntryEngine:
     """Forwards packets, and selects targets for new flows.
 
@@ -166,30 +87,55 @@
         self._codec = codec
         self._directory = directory
         self._routes = routes
-        self._placer = placer
-        self._responsiveness = responsiveness
-        self._outbox = outbox
         self._events = events
-        self.timing = timing or EngineTiming()
-        self.waiting = WaitingOpenings()
-        self._ended_hashes: set[int] = set()
-        self._answer_deadlines: deque[tuple[float, OpenedFlow]] = deque()
-        self.answer_times = Histogram()
-        self.flow_times = Histogram()
-        self.wait_times = Histogram()
-        self._mean_answer_s = _INITIAL_MEAN_ANSWER_S
-        self._mean_duration_s = _INITIAL_MEAN_DURATION_S
-        self._last_run_s: float | None = None
+        self._timing = timing or EngineTiming()
+        self._counter = FlowCounter(
+            self.flows, placer, self._timing.min_counting_timeout_s
+        )
+        self._opener = FlowOpener(
+            codec,
+            directory,
+            routes,
+            placer,
+            responsiveness,
+            outbox,
+            events,
+            self.flows,
+            self._counter,
+            self.counters,
+            self._timing,
+        )
 
     @property
-    def answer_timeout_s(self) -> float:
-        """Time after which an opening counts as unanswered, in seconds."""
-        timing = self.timing
-        timeout_s = timing.answer_timeout_factor * self._mean_answer_s
-        return min(
-            max(timeout_s, timing.min_answer_timeout_s),
-            timing.max_answer_timeout_s,
-        )
+    def timing(self) -> EngineTiming:
+        """Timeouts and intervals; may be replaced at any time."""
+        return self._timing
+
+    @timing.setter
+    def timing(self, timing: EngineTiming) -> None:
+        self._timing = timing
+        self._opener.timing = timing
+        self._counter.min_timeout_s = timing.min_counting_timeout_s
+
+    @property
+    def waiting(self) -> WaitingOpenings:
+        """Openings that wait for a target."""
+        return self._opener.waiting
+
+    @property
+    def answer_times(self) -> Histogram:
+        """Time from an opening to its answer."""
+        return self._opener.answer_times
+
+    @property
+    def wait_times(self) -> Histogram:
+        """Time for which openings waited for a target."""
+        return self._opener.wait_times
+
+    @property
+    def flow_times(self) -> Histogram:
+        """Time for which flows were in progress."""
+        return self._counter.times
 
     def on_packet(self, packet: bytes, now_s: float) -> None:
         """Handle a packet of a caller.
@@ -208,7 +154,7 @@
             self.counters['malformed'] += 1
             return
         if head.flags & SYN:
-            self._on_opening(head, packet, now_s)
+            self._opener.on_opening(head, packet, now_s)
         else:
             self._on_established(head, packet, now_s)
 
@@ -229,13 +175,11 @@
             Time of the next call, in seconds; None if no timeout is pending.
         """
         for expired in self.flows.counting_expired(now_s):
-            self._uncount(expired)
+            self._counter.uncount(expired)
             if not expired.is_answered:
                 self._report_unanswered(expired, now_s)
         self.flows.remove_expired(now_s)
-        if self._was_paused(now_s):
-            self._restart_answer_timeouts(now_s)
-        due_s = self._check_answer_deadlines(now_s)
+        due_s = self._opener.on_timer(now_s)
         if not self.waiting:
             return due_s
         self.release(now_s)
@@ -250,209 +194,7 @@
         now_s : float
             Current time in seconds.
         """
-        for late in self.waiting.overdue(now_s):
-            self.waiting.remove(late)
-            self._refuse(late.head, 'waited_too_long')
-        # Selection scans all targets of a service. If the first opening finds
-        # none that is free, the others of the service would not either.
-        full_services: set[str] = set()
-        for opening in self.waiting.in_release_order(now_s):
-            service = opening.route.service_of(opening.head.flow)
-            if service in full_services:
-                continue
-            if not self._try_to_open(opening, now_s):
-                full_services.add(service)
-
-    def _try_to_open(self, opening: WaitingOpening, now_s: float) -> bool:
-        """Open a waiting flow if a target is free; return whether one was."""
-        placement = self._place(
-            opening.route, opening.head.flow, now_s, full_load=FULL_LOAD
-        )
-        if placement.target is not None:
-            self.waiting.remove(opening)
-            self.wait_times.observe(now_s - opening.arrived_s)
-            self._open(opening, placement, now_s)
-        return placement.target is not None
-
-    def _check_answer_deadlines(self, now_s: float) -> float | None:
-        while self._answer_deadlines:
-            due_s, flow = self._answer_deadlines[0]
-            is_open = self.flows.get(flow.key) is flow
-            if is_open and not flow.is_answered and due_s > now_s:
-                return due_s
-            self._answer_deadlines.popleft()
-            if is_open and not flow.is_answered:
-                self._on_answer_timeout(flow, now_s)
-        return None
-
-    def _on_answer_timeout(self, flow: OpenedFlow, now_s: float) -> None:
-        """Move an opening once, unless its target answers other callers.
-
-        If the target answers others, the caller's packets may now pass through
-        another instance; a second target would then disrupt an open flow.
-        """
-        self._note_unanswered(flow, now_s)
-        if flow.tried or self._responsiveness.has_answered_since(
-            flow.target, flow.sent_s
-        ):
-            return
-        self._move_opening(flow, now_s)
-
-    def _on_opening(
-        self, head: PacketHeader, packet: bytes, now_s: float
-    ) -> None:
-        flow = self.flows.get(head.flow)
-        if flow is not None and flow.head.sequence == head.sequence:
-            self._on_retransmission(flow, packet, now_s)
-            return
-        if flow is not None:
-            self._uncount(flow)
-            self.flows.remove(flow)
-        route = self._routes.find(head.destination)
-        if route is None:
-            self._refuse(head, 'no_route')
-            return
-        if head.copy:
-            # An earlier transmission may have reached another instance, which
-            # must no longer count the flow or keep its opening waiting.
-            self._ended_hashes.add(zlib.crc32(head.flow))
-        opening = WaitingOpening(head, packet, route, now_s)
-        placement = self._place(route, head.flow, now_s, full_load=FULL_LOAD)
-        if placement.target is not None:
-            self._open(opening, placement, now_s)
-        elif placement.reason is PlacementReason.NO_TARGET:
-            self._refuse(head, placement.reason.value)
-        elif head.flow not in self.waiting:
-            self.waiting.add(opening)
-            self.counters['waited'] += 1
-            self._events.event(
-                'flow_waits',
-                flow=head.caller,
-                route=route.record.name,
-                reason=placement.reason.value,
-                waiting=len(self.waiting),
-            )
-
-    def _open(
-        self, opening: WaitingOpening, placement: Placement, now_s: float
-    ) -> None:
-        record = opening.route.record
-        flow = OpenedFlow(
-            opening.head,
-            opening.packet,
-            opening.route,
-            placement.target,
-            now_s,
-        )
-        expires_s = now_s + record.deadline_s + self.timing.flow_grace_s
-        self.flows.add(flow, expires_s)
-        self.flows.count_until(flow, now_s + self._counting_timeout_s)
-        self._placer.note_started(placement.target)
-        self._send_opening(flow, placement, now_s)
-        self.counters['opened'] += 1
-        self._events.event(
-            'flow_opened',
-            flow=opening.head.caller,
-            route=record.name,
-            target=placement.target.name,
-            reason=placement.reason.value,
-            copy=opening.head.copy,
-            waited_ms=round(1000 * (now_s - opening.arrived_s)),
-            config=self._routes.version,
-        )
-
-    def _on_retransmission(
-        self, flow: OpenedFlow, packet: bytes, now_s: float
-    ) -> None:
-        """Handle a retransmitted opening packet of a flow that is open here.
-
-        The caller had no answer when it sent the packet. It is forwarded to
-        the same target, or to another one if the answer timeout is over.
-        """
-        self.counters['copies'] += 1
-        flow.packet = packet
-        if flow.is_answered or now_s - flow.sent_s < self.answer_timeout_s:
-            self._forward(flow.target, packet)
-            return
-        self._note_unanswered(flow, now_s)
-        self._move_opening(flow, now_s)
-
-    def _note_unanswered(self, flow: OpenedFlow, now_s: float) -> None:
-        if flow.was_timeout_noted:
-            return
-        flow.was_timeout_noted = True
-        self.counters['unanswered'] += 1
-        suspected = self._responsiveness.note_unanswered(
-            flow.target, flow.sent_s, now_s
-        )
-        if suspected:
-            self._events.event(
-                'target_suspected',
-                target=flow.target.name,
-                suspected=len(suspected),
-                waited_ms=round(1000 * (now_s - flow.sent_s)),
-            )
-
-    def _move_opening(self, flow: OpenedFlow, now_s: float) -> None:
-        target = flow.target
-        tried = (*flow.tried, target)
-        placement = self._place(flow.route, flow.key, now_s, tried)
-        if placement.target is None:
-            return
-        self._uncount(flow)
-        flow.move_to(placement.target, now_s)
-        self._count(flow, now_s + self._counting_timeout_s)
-        self._events.event(
-            'opening_moved',
-            flow=flow.head.caller,
-            route=flow.route.record.name,
-            earlier=target.name,
-            target=placement.target.name,
-            reason=placement.reason.value,
-            waited_ms=round(1000 * (now_s - flow.opened_s)),
-        )
-        self.counters['moved'] += 1
-        self._send_opening(flow, placement, now_s)
-
-    def _send_opening(
-        self, flow: OpenedFlow, placement: Placement, now_s: float
-    ) -> None:
-        target = flow.target
-        if placement.reason is PlacementReason.PROBE:
-            self._responsiveness.note_probe(target, now_s)
-        self._placer.note_sent(target, now_s)
-        self._forward(target, flow.packet)
-        self._answer_deadlines.append((now_s + self.answer_timeout_s, flow))
-
-    def _place(
-        self,
-        route: ActiveRoute,
-        key: bytes,
-        now_s: float,
-        tried: tuple[KnownTarget, ...] = (),
-        *,
-        full_load: float = math.inf,
-    ) -> Placement:
-        service = route.service_of(key)
-        record = self._routes.services.get(service)
-        rate_per_s = record.warmup_per_s if record else 0
-        candidates = self._directory.usable_targets(service)
-        return self._placer.choose(
-            candidates, rate_per_s, now_s, tried, full_load=full_load
-        )
-
-    def _refuse(self, head: PacketHeader, reason: str) -> None:
-        """Reset a flow that is not open; its request has therefore not run."""
-        self.counters[f'refused_{reason}'] += 1
-        self._events.event(
-            'flow_refused',
-            flow=head.caller,
-            destination=head.destination.hex(),
-            reason=reason,
-            config=self._routes.version,
-        )
-        address = self._codec.caller_address(head)
-        self._outbox.send(address, self._codec.build_reset(head))
+        self._opener.release(now_s)
 
     def _on_established(
         self, head: PacketHeader, packet: bytes, now_s: float
@@ -465,10 +207,10 @@
         if target is None:
             return
         out_for_s = self._directory.zone_out_for_s(target.record.zone, now_s)
-        if out_for_s > self.timing.zone_out_s:
+        if out_for_s > self._timing.zone_out_s:
             self.counters['dropped_zone_out'] += 1
             return
-        self._forward(target, packet)
+        self._opener.forward(target, packet)
         self.counters['forwarded'] += 1
         if head.flags & (FIN | RST):
             self._on_closing(head.flow, flow, now_s)
@@ -495,49 +237,29 @@
             )
             return None
         if flow is not None:
-            self._on_answered(flow, target, now_s)
+            self._opener.note_answered(flow, target, now_s)
         return target
 
     def _resolve(self, head: PacketHeader, now_s: float) -> KnownTarget | None:
         route = self._routes.find(head.destination)
         if route is None:
-            since_s = now_s - self.timing.removed_route_s
+            since_s = now_s - self._timing.removed_route_s
             route = self._routes.find_removed(head.destination, since_s)
         if route is None:
             return None
         return self._directory.resolve(head.token, route.services)
 
-    def _on_answered(
-        self, flow: OpenedFlow, target: KnownTarget, now_s: float
-    ) -> None:
-        flow.is_answered = True
-        flow.packet = b''
-        # The time of an answer is known only for the target that the opening
-        # was last sent to; an earlier one may have answered instead.
-        if target is flow.target:
-            waited_s = now_s - flow.sent_s
-            self.answer_times.observe(waited_s)
-            difference_s = waited_s - self._mean_answer_s
-            self._mean_answer_s += _ANSWER_WEIGHT * difference_s
-        self._uncount(flow)
-        flow.target = target
-        self._count(flow, now_s + self._counting_timeout_s)
-        if self._responsiveness.note_answered(target, now_s):
-            self._events.event('target_trusted', target=target.name)
-
     def _on_closing(
         self, key: bytes, flow: OpenedFlow | None, now_s: float
     ) -> None:
         if flow is None:
-            self._ended_hashes.add(zlib.crc32(key))
+            self.flows.ended_hashes.add(zlib.crc32(key))
         elif flow.is_counted:
-            self._uncount(flow)
+            self._counter.uncount(flow)
             duration_s = now_s - flow.sent_s
-            self.flow_times.observe(duration_s)
+            self._counter.note_duration(duration_s)
             if duration_s > flow.route.record.objective_s:
                 self._report_slow(flow, duration_s, now_s)
-            difference_s = duration_s - self._mean_duration_s
-            self._mean_duration_s += _DURATION_WEIGHT * difference_s
         if self.waiting:
             self.release(now_s)
 
@@ -580,8 +302,8 @@
         tuple of int
             CRC-32 of the keys of the flows since the last call.
         """
-        ended = tuple(self._ended_hashes)
-        self._ended_hashes.clear()
+        ended = tuple(self.flows.ended_hashes)
+        self.flows.ended_hashes.clear()
         return ended
 
     def on_ended_hashes(self, hashes: Iterable[int], now_s: float) -> None:
@@ -602,55 +324,7 @@
         for flow_hash in hashes:
             flow = self.flows.get_by_hash(flow_hash)
             if flow is not None:
-                self._uncount(flow)
+                self._counter.uncount(flow)
             self.waiting.discard_hash(flow_hash)
         if self.waiting:
             self.release(now_s)
-
-    @property
-    def _counting_timeout_s(self) -> float:
-        """Time for which a flow counts as in progress without being closed."""
-        timeout_s = _COUNTED_DURATION_FACTOR * self._mean_duration_s
-        return max(timeout_s, self.timing.min_counting_timeout_s)
-
-    def _count(self, flow: OpenedFlow, until_s: float) -> None:
-        flow.is_counted = True
-        self._placer.note_started(flow.target)
-        self.flows.count_until(flow, until_s)
-
-    def _uncount(self, flow: OpenedFlow) -> None:
-        if flow.is_counted:
-            flow.is_counted = False
-            self._placer.note_ended(flow.target)
-
-    def _forward(self, target: KnownTarget, packet: bytes) -> None:
-        record = target.record
-        datagram = self._codec.frame_for_target(
-            record.target_id, target.token, packet
-        )
-        self._outbox.send(record.address, datagram)
-
-    def _was_paused(self, now_s: float) -> bool:
-        """Return whether the timer ran late for the first answer timeout.
-
-        The delay counts from the time at which the timeout was due, or from
-        the previous run of the timer if that was later.
-        """
-        last_s = self._last_run_s
-        self._last_run_s = now_s
-        if last_s is None or not self._answer_deadlines:
-            return False
-        due_s = self._answer_deadlines[0][0]
-        return now_s - max(last_s, due_s) > self.timing.pause_s
-
-    def _restart_answer_timeouts(self, now_s: float) -> None:
-        """Restart all answer timeouts after a pause of the process.
-
-        Answers that arrived during the pause are then handled before their
-        openings time out.
-        """
-        self.counters['pauses'] += 1
-        timeout_s = self.answer_timeout_s
-        self._answer_deadlines = deque(
-            (now_s + timeout_s, flow) for _, flow in self._answer_deadlines
-        )
--- a/siskinproxy/entry/flows.py
+++ b/siskinproxy/entry/flows.py
@@ -100,7 +100,7 @@
         self.sent_s = now_s
         self.was_timeout_noted = False
         self.is_answered = False
-        self.is_counted = True
+        self.is_counted = False
         self.counted_until_s: float = 0
         self.expires_s: float = 0
 
@@ -118,9 +118,16 @@
     A flow has two timeouts: after the first, it no longer counts as in
     progress, since its closing packet may have passed through another
     instance; after the second, it is removed.
+
+    Attributes
+    ----------
+    ended_hashes : set of int
+        CRC-32 of the keys of flows that other instances should no longer count
+        or keep waiting, since packets of them have passed through this one.
     """
 
     def __init__(self) -> None:
+        self.ended_hashes: set[int] = set()
         self._flows: dict[bytes, OpenedFlow] = {}
         self._by_hash: dict[int, OpenedFlow] = {}
         self._removal_queue: deque[OpenedFlow] = deque()
