Count requests, divide targets by priority and refuse early

Cause: instances counted open flows, took any target that looked free among sampled counts, and let openings wait 1.3 s while nothing could become free. Requests of all priorities queued at the same targets.

Change: entry/scheduling follows requests by the packets of callers (requests), measures the need of each priority (demand), divides the targets (lanes, divisions), keeps zones that are full on the mean from new flows (rooms), decides about waiting (waiting), and uses the learned speeds (speeds). Section `load` of the settings switches the parts on; without it nothing changes.

--- a/siskinproxy/entry/bounds.py
+++ b/siskinproxy/entry/bounds.py
@@ -11,7 +11,8 @@
 from siskinproxy.entry.engine import EngineTiming
 from siskinproxy.entry.follower import FollowerTiming
 from siskinproxy.entry.restored import RestoreTiming
-from siskinproxy.entry.settings import EntryBounds
+from siskinproxy.entry.scheduling.scheduler import SchedulingOptions
+from siskinproxy.entry.settings import EntryBounds, EntryLoad
 
 __all__ = (
     'DEFAULT_TIMING_BOUND_S',
@@ -21,6 +22,7 @@
     'engine_timing',
     'follower_timing',
     'restore_timing',
+    'scheduling_options',
 )
 
 #: Tightest bound on changes that the default `FollowerTiming` keeps, in
@@ -117,3 +119,8 @@
     return EngineTiming(
         zone_out_s=ZONE_OUT_FRACTION * bounds.zone_out_ms / _MS_PER_S
     )
+
+
+def scheduling_options(load: EntryLoad) -> SchedulingOptions:
+    """Return what section ``load`` asks for."""
+    return SchedulingOptions(load.lanes, load.refuse_early, load.learn_speeds)
--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -27,6 +27,11 @@
 from siskinproxy.entry.records import NO_TOKEN
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.scheduling.requests import (
+    FinishedRequest,
+    RequestTracker,
+)
+from siskinproxy.entry.scheduling.scheduler import Scheduler
 from siskinproxy.entry.target_selection import Placer
 from siskinproxy.entry.timing import EngineTiming
 from siskinproxy.entry.waiting_queue import WaitingOpenings
@@ -55,6 +60,9 @@
         Log of decisions.
     timing : EngineTiming
         Timeouts and intervals.
+    scheduler : Scheduler or None
+        Decisions under scarcity; if given, requests are followed on open
+        flows.
 
     Attributes
     ----------
@@ -81,6 +89,7 @@
         outbox: Outbox,
         events: EventSink,
         timing: EngineTiming | None = None,
+        scheduler: Scheduler | None = None,
     ) -> None:
         self.counters: Counter[str] = Counter()
         self.flows = FlowTable()
@@ -104,6 +113,20 @@
             self._counter,
             self.counters,
             self._timing,
+            scheduler,
+        )
+        self._scheduler = scheduler
+        self._tracker = (
+            None
+            if scheduler is None
+            else RequestTracker(
+                self.flows,
+                self._counter,
+                routes,
+                self.counters,
+                scheduler.on_started,
+                self._on_finished,
+            )
         )
 
     @property
@@ -212,6 +235,10 @@
             return
         self._opener.forward(target, packet)
         self.counters['forwarded'] += 1
+        if self._tracker is not None:
+            has_room = self._tracker.on_packet(head, flow, target, now_s)
+            if has_room and self.waiting:
+                self._opener.release(now_s)
         if head.flags & (FIN | RST):
             self._on_closing(head.flow, flow, now_s)
 
@@ -254,6 +281,11 @@
     ) -> None:
         if flow is None:
             self.flows.ended_hashes.add(zlib.crc32(key))
+        elif self._scheduler is not None:
+            self._counter.uncount(flow)
+            if flow.requests:
+                self._scheduler.on_closed(flow)
+                flow.requests = 0
         elif flow.is_counted:
             self._counter.uncount(flow)
             duration_s = now_s - flow.sent_s
@@ -263,6 +295,12 @@
         if self.waiting:
             self.release(now_s)
 
+    def _on_finished(self, request: FinishedRequest, now_s: float) -> None:
+        self._counter.note_duration(request.response_s)
+        if request.response_s > request.flow.route.record.objective_s:
+            self._report_slow(request.flow, request.response_s, now_s)
+        self._scheduler.on_finished(request, now_s)
+
     def _report_slow(
         self, flow: OpenedFlow, duration_s: float, now_s: float
     ) -> None:
--- a/siskinproxy/entry/flows.py
+++ b/siskinproxy/entry/flows.py
@@ -64,6 +64,16 @@
         closing packet is not seen, in seconds.
     expires_s : float
         Time at which the flow is removed from the table, in seconds.
+    is_requesting : bool
+        Whether a request is in progress, if requests are followed.
+    request_s : float
+        Time of the first packet of the latest request, in seconds.
+    request_end : int or None
+        Sequence number after the latest request; None before the first.
+    request_ack : int
+        Acknowledgment number when the latest request began.
+    requests : int
+        Requests that the flow has carried.
     """
 
     __slots__ = (
@@ -72,9 +82,14 @@
         'head',
         'is_answered',
         'is_counted',
+        'is_requesting',
         'key',
         'opened_s',
         'packet',
+        'request_ack',
+        'request_end',
+        'request_s',
+        'requests',
         'route',
         'sent_s',
         'target',
@@ -103,6 +118,11 @@
         self.is_counted = False
         self.counted_until_s: float = 0
         self.expires_s: float = 0
+        self.is_requesting = False
+        self.request_s: float = 0
+        self.request_end: int | None = None
+        self.request_ack = 0
+        self.requests = 0
 
     def move_to(self, target: KnownTarget, now_s: float) -> None:
         """Record that the opening packet is sent to another target."""
@@ -142,6 +162,11 @@
         """Return a flow, None if it is not in the table."""
         return self._flows.get(key)
 
+    @staticmethod
+    def hash_of(key: bytes) -> int:
+        """Return the hash by which reports name a flow."""
+        return zlib.crc32(key)
+
     def get_by_hash(self, flow_hash: int) -> OpenedFlow | None:
         """Return a flow by the CRC-32 of its key, None if there is none."""
         return self._by_hash.get(flow_hash)
@@ -150,7 +175,7 @@
         """Add a flow that is removed at a time in seconds."""
         flow.expires_s = expires_s
         self._flows[flow.key] = flow
-        self._by_hash[zlib.crc32(flow.key)] = flow
+        self._by_hash[self.hash_of(flow.key)] = flow
         self._removal_queue.append(flow)
 
     def count_until(self, flow: OpenedFlow, until_s: float) -> None:
@@ -195,6 +220,6 @@
 
     def _delete(self, flow: OpenedFlow) -> None:
         del self._flows[flow.key]
-        flow_hash = zlib.crc32(flow.key)
+        flow_hash = self.hash_of(flow.key)
         if self._by_hash.get(flow_hash) is flow:
             del self._by_hash[flow_hash]
--- a/siskinproxy/entry/load_exchange.py
+++ b/siskinproxy/entry/load_exchange.py
@@ -11,7 +11,7 @@
 from gevent import socket
 
 from siskinproxy.entry.evidence import DATAGRAM_PREFIX
-from siskinproxy.entry.load_view import LoadReport, LoadView, decode_report
+from siskinproxy.entry.load_view import LoadReport, decode_report
 from siskinproxy.entry.records import Address
 
 __all__ = ('LoadExchange',)
@@ -38,17 +38,14 @@
     ----------
     address : Address
         UDP address on which reports are received.
-    view : LoadView
-        Gets the received reports.
     build_report : callable
         Returns the current report of this instance.
     list_receivers : callable
         Returns the addresses that reports are sent to.
     is_busy : callable
         Returns whether reports are sent at the shorter interval.
-    on_ended : callable
-        Called with the hashes of flows that ended at another instance and the
-        current time in seconds.
+    on_report : callable
+        Called with each report and the current time in seconds.
     on_evidence : callable
         Called with each datagram that starts with the prefix of evidence, and
         the current time in seconds; returns whether it could be decoded.
@@ -66,22 +63,20 @@
     def __init__(
         self,
         address: Address,
-        view: LoadView,
         build_report: Callable[[], LoadReport],
         list_receivers: Callable[[], tuple[Address, ...]],
         is_busy: Callable[[], bool],
-        on_ended: Callable[[tuple[int, ...], float], None],
+        on_report: Callable[[LoadReport, float], None],
         on_evidence: Callable[[bytes, float], bool],
         clock: Callable[[], float],
     ) -> None:
         self.malformed = 0
         self.unsent = 0
         self._address = address
-        self._view = view
         self._build_report = build_report
         self._list_receivers = list_receivers
         self._is_busy = is_busy
-        self._on_ended = on_ended
+        self._on_report = on_report
         self._on_evidence = on_evidence
         self._clock = clock
         self._socket: socket.socket | None = None
@@ -155,7 +150,5 @@
         report = decode_report(datagram)
         if report is None:
             return False
-        self._view.apply_report(report, now_s)
-        if report.ended:
-            self._on_ended(report.ended, now_s)
+        self._on_report(report, now_s)
         return True
--- a/siskinproxy/entry/load_view.py
+++ b/siskinproxy/entry/load_view.py
@@ -13,7 +13,13 @@
 from siskinproxy.entry.directory import KnownTarget
 from siskinproxy.entry.instances import InstanceRecord
 
-__all__ = ('LoadReport', 'LoadView', 'decode_report', 'report_receivers')
+__all__ = (
+    'LoadReport',
+    'LoadView',
+    'decode_report',
+    'foreign_receiver',
+    'report_receivers',
+)
 
 #: Age from which on a report is discarded, in seconds: a few intervals.
 MAX_REPORT_AGE_S: Final = 0.8
@@ -47,6 +53,16 @@
         opening packet as a retransmission. After a change of the fabric, the
         packets of a flow pass through another instance than its first opening
         packet.
+    zone_loads : dict of int to tuple of int
+        Mean load of the targets of each zone, in hundredths of a request per
+        slot, and its age in milliseconds, by
+        `siskinproxy.entry.scheduling.rooms.zone_key`.
+    needs : dict of int to int
+        Need of the callers in thousandths of a slot, by
+        `siskinproxy.entry.scheduling.demand.demand_key`.
+    speeds : dict of int to tuple of int
+        Response times since the last report, by token of the target: number
+        and sum of their ratios to the usual times in percent.
     """
 
     instance: str
@@ -54,6 +70,9 @@
     is_stopping: bool
     flows: dict[int, int]
     ended: tuple[int, ...] = ()
+    zone_loads: dict[int, tuple[int, int]] = {}
+    needs: dict[int, int] = {}
+    speeds: dict[int, tuple[int, int]] = {}
 
 
 _DECODER: Final = msgspec.msgpack.Decoder(LoadReport)
@@ -67,6 +86,32 @@
         return None
 
 
+def foreign_receiver(
+    zone: str, instances: Sequence[InstanceRecord], turn: int
+) -> InstanceRecord | None:
+    """Return the instance of another zone that gets a report in this turn.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of the sender.
+    instances : sequence of InstanceRecord
+        All registered instances.
+    turn : int
+        Number of the report; the instances take turns.
+
+    Returns
+    -------
+    InstanceRecord or None
+        None if there are no other zones, or if `report_receivers` returns all
+        instances anyway.
+    """
+    if len(instances) - 1 <= MAX_RECEIVERS:
+        return None
+    foreign = [each for each in instances if each.zone != zone]
+    return foreign[turn % len(foreign)] if foreign else None
+
+
 def report_receivers(
     own: InstanceRecord, instances: Sequence[InstanceRecord]
 ) -> tuple[InstanceRecord, ...]:
@@ -104,8 +149,14 @@
         self._reports: dict[str, tuple[float, LoadReport]] = {}
         self._reported: dict[int, int] = {}
         self._sample_scale: float = 1
+        self._is_sampled = False
         self._silent: dict[str, tuple[float, str]] = {}
 
+    @property
+    def is_sampled(self) -> bool:
+        """Whether reports come from some instances of the own zone only."""
+        return self._is_sampled
+
     @property
     def own_flows(self) -> Mapping[int, int]:
         """Number of flows in progress that this instance opened, by token."""
@@ -177,8 +228,11 @@
         instances : sequence of InstanceRecord
             All registered instances.
         """
-        reporting = len(self._reports)
-        if len(instances) - 1 <= MAX_RECEIVERS or not reporting:
+        reporting = sum(
+            report.zone == zone for _, report in self._reports.values()
+        )
+        self._is_sampled = len(instances) - 1 > MAX_RECEIVERS
+        if not self._is_sampled or not reporting:
             self._sample_scale = 1
             return
         members = sum(each.zone == zone for each in instances)
--- a/siskinproxy/entry/openings.py
+++ b/siskinproxy/entry/openings.py
@@ -19,6 +19,7 @@
 from siskinproxy.entry.ports import EventSink, Outbox
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import ActiveRoute, RouteTable
+from siskinproxy.entry.scheduling.scheduler import PlacementStep, Scheduler
 from siskinproxy.entry.target_selection import (
     FULL_LOAD,
     Placement,
@@ -63,6 +64,8 @@
         Number of packets and flows by outcome.
     timing : EngineTiming
         Timeouts and intervals.
+    scheduler : Scheduler or None
+        Decisions under scarcity; None if the settings ask for none.
 
     Attributes
     ----------
@@ -88,7 +91,9 @@
         counter: FlowCounter,
         counters: Counter[str],
         timing: EngineTiming,
+        scheduler: Scheduler | None = None,
     ) -> None:
+        self._scheduler = scheduler
         self._codec = codec
         self._directory = directory
         self._routes = routes
@@ -157,21 +162,37 @@
         placement = self._place(route, head.flow, now_s, full_load=FULL_LOAD)
         if placement.target is not None:
             self._open(opening, placement, now_s)
+            if self._scheduler is not None:
+                key = self._class_of(opening)
+                self._scheduler.waits.note_released(
+                    key, now_s, has_waited=False
+                )
         elif placement.reason is PlacementReason.NO_TARGET:
             self.refuse(head, placement.reason.value)
         elif head.flow not in self.waiting:
-            self.waiting.add(opening)
-            self._counters['waited'] += 1
-            self._events.event(
-                'flow_waits',
-                flow=head.caller,
-                route=route.record.name,
-                reason=placement.reason.value,
-                waiting=len(self.waiting),
-            )
+            self._hold_back(opening, placement, now_s)
+
+    def _hold_back(
+        self, opening: WaitingOpening, placement: Placement, now_s: float
+    ) -> None:
+        """Let an opening wait for a target unless that is hopeless."""
+        key = self._class_of(opening)
+        position = len(self.waiting) + 1
+        if self._is_hopeless(opening, key, position, now_s):
+            self.refuse(opening.head, 'no_room')
+            return
+        self.waiting.add(opening)
+        self._counters['waited'] += 1
+        self._events.event(
+            'flow_waits',
+            flow=opening.head.caller,
+            route=opening.route.record.name,
+            reason=placement.reason.value,
+            waiting=len(self.waiting),
+        )
 
     def release(self, now_s: float) -> None:
-        """Open waiting flows as targets are free; refuse overdue ones.
+        """Open waiting flows as targets are free; refuse hopeless ones.
 
         Parameters
         ----------
@@ -182,16 +203,47 @@
             self.waiting.remove(late)
             self.refuse(late.head, 'waited_too_long')
         # Selection scans all targets of a service. If the first opening finds
-        # none that is free, the others of the service would not either.
-        full_services: set[str] = set()
+        # none that is free, the others of its class would not either.
+        ahead: Counter[tuple[str, int]] = Counter()
         for opening in self.waiting.in_release_order(now_s):
-            service = opening.route.service_of(opening.head.flow)
-            if service in full_services:
+            key = self._class_of(opening)
+            if not ahead[key] and self._try_to_open(opening, key, now_s):
                 continue
-            if not self._try_to_open(opening, now_s):
-                full_services.add(service)
+            ahead[key] += 1
+            if self._is_hopeless(opening, key, ahead[key], now_s):
+                self.waiting.remove(opening)
+                self.refuse(opening.head, 'no_room')
+
+    def _class_of(self, opening: WaitingOpening) -> tuple[str, int]:
+        """Return what openings that compete for the same targets share."""
+        service = opening.route.service_of(opening.head.flow)
+        if self._scheduler is None:
+            return service, 0
+        return service, opening.route.record.priority
+
+    def _is_hopeless(
+        self,
+        opening: WaitingOpening,
+        key: tuple[str, int],
+        position: int,
+        now_s: float,
+    ) -> bool:
+        """Return whether an opening will not find a target in time."""
+        scheduler = self._scheduler
+        if scheduler is None or not scheduler.options.refuses_early:
+            return False
+        scheduler.waits.note_blocked(key, now_s)
+        return scheduler.waits.is_hopeless(
+            key,
+            position,
+            opening.route.record.objective_s,
+            self.waiting.latest_release_s(opening),
+            now_s,
+        )
 
-    def _try_to_open(self, opening: WaitingOpening, now_s: float) -> bool:
+    def _try_to_open(
+        self, opening: WaitingOpening, key: tuple[str, int], now_s: float
+    ) -> bool:
         """Open a waiting flow if a target is free; return whether one was."""
         placement = self._place(
             opening.route, opening.head.flow, now_s, full_load=FULL_LOAD
@@ -200,6 +252,8 @@
             self.waiting.remove(opening)
             self.wait_times.observe(now_s - opening.arrived_s)
             self._open(opening, placement, now_s)
+            if self._scheduler is not None:
+                self._scheduler.waits.note_released(key, now_s, has_waited=True)
         return placement.target is not None
 
     def _open(
@@ -348,9 +402,32 @@
         record = self._routes.services.get(service)
         rate_per_s = record.warmup_per_s if record else 0
         candidates = self._directory.usable_targets(service)
-        return self._placer.choose(
-            candidates, rate_per_s, now_s, tried, full_load=full_load
-        )
+        if self._scheduler is None or tried or not candidates:
+            return self._placer.choose(
+                candidates, rate_per_s, now_s, tried, full_load=full_load
+            )
+        steps = self._scheduler.steps(route, service, full_load, now_s)
+        return self._place_in_steps(steps, rate_per_s, now_s)
+
+    def _place_in_steps(
+        self,
+        steps: tuple[PlacementStep, ...],
+        rate_per_s: float,
+        now_s: float,
+    ) -> Placement:
+        """Return the first placement without a doubt, else the last one.
+
+        Without steps, all targets that the flow may use are full.
+        """
+        placement = Placement(None, PlacementReason.ALL_BUSY)
+        for step in steps:
+            placement = self._placer.choose(
+                step.targets, rate_per_s, now_s, full_load=step.full_load
+            )
+            is_settled = placement.reason is not PlacementReason.ALL_SUSPECTED
+            if placement.target is not None and is_settled:
+                return placement
+        return placement
 
     def refuse(self, head: PacketHeader, reason: str) -> None:
         """Reset a flow that is not open; its request has therefore not run."""
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -30,6 +30,7 @@
 from siskinproxy.entry.load_view import (
     LoadReport,
     LoadView,
+    foreign_receiver,
     report_receivers,
 )
 from siskinproxy.entry.metrics import EntryMetrics, Histogram
@@ -41,6 +42,7 @@
 from siskinproxy.entry.registration import Registration
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.scheduling.scheduler import Scheduler
 from siskinproxy.entry.settings import EntrySettings
 from siskinproxy.entry.sources import SourceSelector
 from siskinproxy.entry.status import STATUS_PATH, StatusPage
@@ -188,13 +190,14 @@
         )
         self.record = record
         self._receivers: tuple[InstanceRecord, ...] = ()
+        self._registered: tuple[InstanceRecord, ...] = ()
+        self._reports_sent = 0
         self._exchange = LoadExchange(
             record.address,
-            self.loads,
             self._build_report,
             self._report_addresses,
             self._needs_frequent_reports,
-            self.engine.on_ended_hashes,
+            self._on_report,
             self._on_evidence,
             time.monotonic,
         )
@@ -267,6 +270,7 @@
             self.loads,
             random.Random(),
         )
+        self.scheduler = self._build_scheduler()
         return EntryEngine(
             codec,
             self.directory,
@@ -275,8 +279,27 @@
             self.responsiveness,
             self.socket,
             self.log,
+            scheduler=self.scheduler,
         )
 
+    def _build_scheduler(self) -> Scheduler | None:
+        """Return the scheduler if the settings ask for any part of it."""
+        options = bounds.scheduling_options(self._cfg.load)
+        if not options.is_on:
+            return None
+        scheduler = Scheduler(
+            self.directory,
+            self.routes,
+            options,
+            self.loads,
+            self._cfg.instance.zone,
+            lambda: len(self._zone_members()),
+            self.log,
+        )
+        if options.learns_speeds:
+            self._placer.speeds = scheduler.speeds
+        return scheduler
+
     def _apply_bounds(self) -> None:
         """Derive timing and limits from the settings in force."""
         found = self._cfg.bounds
@@ -320,6 +343,7 @@
         """Update what depends on the set of known instances."""
         self._cold_limit.set_instances(self.instances.possible_senders(now_s))
         registered = tuple(self.instances.registered())
+        self._registered = registered
         receivers = report_receivers(self.record, registered)
         self._receivers = receivers
         self.loads.expire(now_s)
@@ -331,6 +355,8 @@
             if each.name not in absent
         )
         self.responsiveness.expire()
+        if self.scheduler is not None:
+            self.scheduler.speeds.expire(now_s)
 
     def _zone_members(self) -> tuple[InstanceRecord, ...]:
         return self.instances.in_zone(self.record.zone)
@@ -346,8 +372,26 @@
             self.readiness is Readiness.STOPPING,
             dict(self.loads.own_flows),
             self.engine.take_ended_hashes(),
+            *self._learned(),
         )
 
+    def _learned(self) -> tuple[dict, ...]:
+        """Return what load reports say of room, demand and speed."""
+        if self.scheduler is None:
+            return ()
+        return self.scheduler.report(time.monotonic())
+
+    def _on_report(self, report: LoadReport, now_s: float) -> None:
+        """Apply the load report of another instance."""
+        is_own_zone = report.zone == self.record.zone
+        # With many instances, another zone's report covers a few of its flows.
+        if is_own_zone or not self.loads.is_sampled:
+            self.loads.apply_report(report, now_s)
+        if report.ended:
+            self.engine.on_ended_hashes(report.ended, now_s)
+        if self.scheduler is not None:
+            self.scheduler.on_report(report, now_s)
+
     def _report_addresses(self) -> tuple[Address, ...]:
         """Return the addresses that get load reports.
 
@@ -355,11 +399,19 @@
         """
         is_busy = self._needs_frequent_reports()
         zone = self.record.zone
-        return tuple(
+        receivers = [
             each.address
             for each in self._receivers
             if is_busy or each.zone == zone
-        )
+        ]
+        if self.scheduler is not None:
+            self._reports_sent += 1
+            foreign = foreign_receiver(
+                zone, self._registered, self._reports_sent
+            )
+            if foreign is not None:
+                receivers.append(foreign.address)
+        return tuple(receivers)
 
     def _handle_readiness_check(self, path: str) -> ServerResponse:
         is_ready = self.readiness is Readiness.READY
@@ -461,7 +513,7 @@
     old: EntrySettings, new: EntrySettings
 ) -> list[str]:
     """Return the changed sections that apply only after a restart."""
-    sections = ('instance', 'listeners', 'store')
+    sections = ('instance', 'listeners', 'store', 'load')
     return [
         name for name in sections if getattr(old, name) != getattr(new, name)
     ]
--- a/siskinproxy/entry/routes.py
+++ b/siskinproxy/entry/routes.py
@@ -1,6 +1,7 @@
 """Routes of the configuration in force, by destination address and port."""
 
 import zlib
+from collections.abc import Iterator
 from itertools import accumulate
 from typing import Final
 
@@ -87,6 +88,11 @@
         """Return the number of routes in force."""
         return len(self._routes)
 
+    def records(self) -> Iterator[RouteRecord]:
+        """Yield the routes in force as configured."""
+        for route in self._routes.values():
+            yield route.record
+
     def find(self, destination: bytes) -> ActiveRoute | None:
         """Return the route of a destination, None if there is none.
 
--- a/siskinproxy/entry/scheduling/__init__.py
+++ b/siskinproxy/entry/scheduling/__init__.py
@@ -1,9 +1,7 @@
-"""Decisions from what an instance learns about the speed of targets.
+"""Decisions under scarcity, and what an instance learns about demand and speed.
 
-Nothing here reads a clock or a socket; callers pass the current time.
+Nothing here reads a clock or a socket; callers pass the current time. As in
+`siskinproxy.entry`, the package imports none of its modules.
 """
 
-from siskinproxy.entry.scheduling.limits import SpeedLimits, TargetSpeed
-from siskinproxy.entry.scheduling.speeds import TargetSpeeds
-
-__all__ = ('SpeedLimits', 'TargetSpeed', 'TargetSpeeds')
+__all__ = ()
--- a/siskinproxy/entry/scheduling/tests/test_speeds.py
+++ b/siskinproxy/entry/scheduling/tests/test_speeds.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from siskinproxy.entry.scheduling import SpeedLimits, TargetSpeed, TargetSpeeds
+from siskinproxy.entry.scheduling.limits import SpeedLimits, TargetSpeed
+from siskinproxy.entry.scheduling.speeds import TargetSpeeds
 from siskinproxy.entry.scheduling.tests.zone import Zone, mean_log_slowness
 
 LIMITS = SpeedLimits()
--- a/siskinproxy/entry/scheduling/tests/zone.py
+++ b/siskinproxy/entry/scheduling/tests/zone.py
@@ -3,7 +3,7 @@
 import math
 import random
 
-from siskinproxy.entry.scheduling import TargetSpeeds
+from siskinproxy.entry.scheduling.speeds import TargetSpeeds
 
 #: Requests of one target per second and instance: 900 requests per second over
 #: 79 instances and 60 targets.
--- a/siskinproxy/entry/settings.py
+++ b/siskinproxy/entry/settings.py
@@ -18,6 +18,7 @@
     'EntryBounds',
     'EntryIdentity',
     'EntryListeners',
+    'EntryLoad',
     'EntrySettings',
     'EntryStore',
 )
@@ -125,6 +126,23 @@
     ]
 
 
+class EntryLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``load``: what happens if there is not enough room."""
+
+    lanes: Annotated[
+        bool,
+        describe_key('whether priorities of a service get their own targets'),
+    ] = False
+    refuse_early: Annotated[
+        bool,
+        describe_key('whether flows that find no room in time are refused'),
+    ] = False
+    learn_speeds: Annotated[
+        bool,
+        describe_key('whether the load of a target follows its response times'),
+    ] = False
+
+
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings file of an entry process, by section."""
 
@@ -132,3 +150,6 @@
     listeners: Annotated[EntryListeners, describe_key('ports')]
     store: Annotated[EntryStore, describe_key('store and other instances')]
     bounds: Annotated[EntryBounds, describe_key('bounds of the platform')]
+    load: Annotated[
+        EntryLoad, describe_key('decisions if there is not enough room')
+    ] = EntryLoad()
--- a/siskinproxy/entry/target_selection.py
+++ b/siskinproxy/entry/target_selection.py
@@ -7,7 +7,8 @@
 import enum
 import math
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
+from functools import partial
 from typing import Final
 
 import msgspec
@@ -16,6 +17,7 @@
 from siskinproxy.entry.directory import KnownTarget
 from siskinproxy.entry.load_view import LoadView
 from siskinproxy.entry.responsiveness import Responsiveness
+from siskinproxy.entry.scheduling.speeds import TargetSpeeds
 
 __all__ = (
     'FULL_LOAD',
@@ -88,6 +90,12 @@
         Number of flows in progress at each target.
     rng : random.Random
         Selects among targets with equal load.
+
+    Attributes
+    ----------
+    speeds : TargetSpeeds or None
+        How fast targets respond and how much they take; None if all are taken
+        for equal.
     """
 
     def __init__(
@@ -98,6 +106,7 @@
         loads: LoadView,
         rng: random.Random,
     ) -> None:
+        self.speeds: TargetSpeeds | None = None
         self._zone = zone
         self._cold_limit = cold_limit
         self._responsiveness = responsiveness
@@ -194,8 +203,7 @@
             )
             if placement is None:
                 continue
-            load = self._loads.estimated_flows(placement.target)
-            load /= placement.target.record.slots
+            load = self._load_of(placement.target, now_s)
             if load >= BUSY_LOAD:
                 self._busy_until_s = now_s + BUSY_HOLD_S
             if load >= full_load:
@@ -230,14 +238,14 @@
         """
         warm = [target for target in group if not target.is_cold(now_s)]
         if warm:
-            return Placement(min(warm, key=self._load), reason)
+            return Placement(min(warm, key=self._order(now_s)), reason)
         allowed = [
             target
             for target in group
             if self._is_allowed(target, cold_rate_per_s, now_s)
         ]
         if allowed:
-            chosen = min(allowed, key=self._load)
+            chosen = min(allowed, key=self._order(now_s))
             return Placement(chosen, PlacementReason.COLD_TARGET)
         return None
 
@@ -248,9 +256,44 @@
             return True
         return self._cold_limit.allows(target, cold_rate_per_s, now_s)
 
+    def _load_of(self, target: KnownTarget, now_s: float) -> float:
+        """Return the load of a target in flows per slot.
+
+        If speeds are known, slots count for as much as the target takes well.
+        """
+        flows = self._loads.estimated_flows(target)
+        slots = target.record.slots
+        if self.speeds is None:
+            return flows / slots
+        limit = self.speeds.limit(target.token, slots, now_s)
+        return FULL_LOAD * flows / limit
+
+    def _order(
+        self, now_s: float
+    ) -> Callable[[KnownTarget], tuple[float, float]]:
+        """Return the sort key by which the best of several targets is found."""
+        if self.speeds is None:
+            return self._load
+        return partial(self._expected_time, self.speeds, now_s)
+
     def _load(self, target: KnownTarget) -> tuple[float, float]:
         """Return a sort key: load with zone penalty, random among equals."""
         load = self._loads.estimated_flows(target) / target.record.slots
         if target.record.zone != self._zone:
             load += ZONE_PENALTY
         return load, self._rng.random()
+
+    def _expected_time(
+        self, speeds: TargetSpeeds, now_s: float, target: KnownTarget
+    ) -> tuple[float, float]:
+        """Return a sort key: time to a response, in usual response times.
+
+        The new flow counts as well, so that an idle target that is slow comes
+        after a fast one that is nearly idle.
+        """
+        flows = self._loads.estimated_flows(target) + 1
+        slowness = speeds.slowness(target.token, now_s)
+        expected = flows * slowness / target.record.slots
+        if target.record.zone != self._zone:
+            expected += ZONE_PENALTY
+        return expected, self._rng.random()
--- a/siskinproxy/entry/waiting_queue.py
+++ b/siskinproxy/entry/waiting_queue.py
@@ -140,6 +140,12 @@
             ),
         )
 
+    def latest_release_s(self, opening: WaitingOpening) -> float:
+        """Return the time at which an opening is overdue, in seconds."""
+        limits = self._limits
+        patience_s = limits.caller_timeout_s - limits.answer_margin_s
+        return opening.sent_s + patience_s
+
     def overdue(self, now_s: float) -> Iterator[WaitingOpening]:
         """Yield openings whose answer would arrive after the caller gave up."""
         limits = self._limits
