Let the emulator play load that has too little room

Cause: the emulator's callers opened a flow for each request, and a full target reset the flow.

A full target answers 503; the caller repeats on a new flow. New faults: targets that leave, pauses of instances, lost, wrong and missing load reports, bursts of one zone or route. Engines are built by `instances.build_engine`, which `Emulation` takes as an argument. The list of targets and the arrivals moved out of `emulation`.

--- a/siskinproxy/emulator/callers.py
+++ b/siskinproxy/emulator/callers.py
@@ -39,6 +39,19 @@
         Number of attempts that were reset.
     runs : int
         Number of times that a target accepted the request for execution.
+    work_s : float
+        Execution time of the request at a warm target, in seconds.
+    rejections : int
+        Number of times that a full target rejected the request.
+    refused_after_s : tuple of float
+        Times from the first packet of each refused opening to its reset, in
+        seconds.
+    is_refused : bool
+        Whether the last attempt was refused or rejected, so that it did not
+        run.
+    gave_up_s : float or None
+        Time from the first attempt to the end without an answer, in seconds;
+        None if there was an answer.
     """
 
     kind: str
@@ -47,6 +60,11 @@
     took_s: float | None
     resets: int
     runs: int
+    work_s: float = 0
+    rejections: int = 0
+    refused_after_s: tuple[float, ...] = ()
+    is_refused: bool = False
+    gave_up_s: float | None = None
 
 
 class CallerRequest:
--- a/siskinproxy/emulator/day.py
+++ b/siskinproxy/emulator/day.py
@@ -29,6 +29,11 @@
     'zone_cut',
     'burst',
     'store_restored',
+    'targets_leave',
+    'instances_pause',
+    'reports_lost',
+    'reports_wrong',
+    'reports_silent',
 ]
 
 
@@ -53,6 +58,12 @@
         still warming up.
     cold_rate_per_s : float
         Requests per second that a cold target can serve.
+    concurrency_limit : int
+        Requests in progress, with those that wait, up to which the execution
+        time does not depend on them.
+    concurrency_factor : float
+        Part of its execution time by which a request takes longer for each
+        request in progress beyond that limit.
     """
 
     name: str
@@ -62,6 +73,8 @@
     cold_s: float
     cold_factor: float
     cold_rate_per_s: float
+    concurrency_limit: int = 0
+    concurrency_factor: float = 0
 
 
 class RequestClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -85,6 +98,15 @@
         Score of an answer within the objective, and of a later one.
     retries : int
         Maximum number of attempts after the first.
+    priority : int
+        Priority of the route; the lowest number goes first.
+    response_bytes : int
+        Length of a response, in bytes; 0 for callers that close the flow at
+        the response without an acknowledgment, and at which a full target
+        resets the flow. Otherwise it answers with an error (503).
+    callers : int
+        Number of callers in each zone that keep flows open for further
+        requests; 0 if each request opens a flow. Needs `response_bytes`.
     """
 
     name: str
@@ -97,6 +119,9 @@
     worth: float
     late_worth: float
     retries: int
+    priority: int = 1
+    response_bytes: int = 0
+    callers: int = 0
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -116,22 +141,34 @@
         later. ``zone_cut``: a zone exchanges no packets with other zones.
         ``burst``: callers send more requests. ``store_restored``: the store is
         away, then comes back from a copy of the target list.
+        ``targets_leave``: targets drain, then end for good.
+        ``instances_pause``: processes stand still, then go on with what has
+        arrived. ``reports_lost``: load reports are lost.
+        ``reports_wrong``: instances report all targets as full.
+        ``reports_silent``: instances send no load reports.
     at_s, for_s : float
         Start and duration, in seconds. For ``targets_restart`` the duration
-        is the time for which each target is down; ``instances_stop`` ignores
-        it.
+        is the time for which each target is down, and for ``targets_leave``
+        the one for which it drains; ``instances_stop`` ignores it.
     share : float
-        Share of the targets or instances that are affected, 0 to 1; at least
-        one of them is. Not used by ``zone_cut`` and ``burst``.
+        Share of the targets, instances or reports that are affected, 0 to 1;
+        at least one target or instance is. Not used by ``zone_cut`` and
+        ``burst``.
     factor : float
         Factor by which targets become slower (``targets_slow``), or by which
         the request rate grows (``burst``).
+    next_factor : float
+        Factor for the second half of the time (``targets_slow``); 0 for the
+        same one.
     gap_s : float
         Time between the restart of one target or instance and that of the
         next, in seconds (``targets_restart``, ``instances_stop``).
     zone : str
-        Zone that is isolated from the other zones (``zone_cut``), or whose
-        targets end (``zone_targets_end``).
+        Zone that is isolated from the other zones (``zone_cut``), whose
+        targets end (``zone_targets_end``), or whose callers send more
+        requests (``burst``; all if empty).
+    request_class : str
+        Class of the further requests (``burst``); all if empty.
     age_s : float
         Age of the copy from which the store is restored, in seconds
         (``store_restored``).
@@ -145,6 +182,8 @@
     gap_s: float = 0
     zone: str = ''
     age_s: float = 0
+    next_factor: float = 0
+    request_class: str = ''
 
 
 class ScoreWeights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/siskinproxy/emulator/emulation.py
+++ b/siskinproxy/emulator/emulation.py
@@ -6,36 +6,42 @@
 from functools import partial
 from typing import Final
 
+import msgspec
+
 from siskinproxy.emulator.callers import CallerRequest, Outcome
 from siskinproxy.emulator.clock import VirtualClock
 from siskinproxy.emulator.day import Day
 from siskinproxy.emulator.faults import apply_fault
-from siskinproxy.emulator.instances import EmulatedInstance, destination_of
-from siskinproxy.emulator.policies import Policy
-from siskinproxy.emulator.store import EmulatedStore
-from siskinproxy.emulator.targets import (
-    HEARTBEAT_INTERVAL_S,
-    MISSED_HEARTBEAT_LIMIT,
-    EmulatedTarget,
-    Job,
+from siskinproxy.emulator.flow_callers import (
+    CallerFlow,
+    CallerPools,
+    FlowRequest,
 )
+from siskinproxy.emulator.instances import (
+    EmulatedInstance,
+    EngineFactory,
+    build_engine,
+    class_number_of,
+    destination_of,
+)
+from siskinproxy.emulator.load import LoadGenerator
+from siskinproxy.emulator.policies import Policy
+from siskinproxy.emulator.target_list import TargetList
+from siskinproxy.emulator.targets import EmulatedTarget, Job
 from siskinproxy.entry.directory import KnownTarget
 from siskinproxy.entry.evidence import EvidenceReport
 from siskinproxy.entry.load_view import report_receivers
 from siskinproxy.entry.packets import FIN, RST, SYN, PacketHeader
 from siskinproxy.entry.records import Address, token_of
 from siskinproxy.entry.responsiveness import CheckOutcome
-from siskinproxy.entry.store import PrefixChanges
 from siskinproxy.entry.target_check import CHECK_TIMEOUT_S
 
-__all__ = ('Emulation', 'emulate')
+__all__ = ('Emulation', 'Refusal', 'emulate')
 
 #: Interval of the routers' readiness probes, in seconds, and number of
 #: consecutive failures after which they route no more packets to an instance.
 PROBE_INTERVAL_S: Final = 0.5
 PROBE_FAILURE_THRESHOLD: Final = 2
-#: Delay until instances see a change of the target list, in seconds.
-TARGET_LIST_DELAY_S: Final = 0.8
 #: Time from the start of an instance's process until it can receive packets,
 #: in seconds, with 0.236 of a CPU core.
 PROCESS_START_S: Final = 0.6
@@ -58,9 +64,30 @@
 #: Flow numbers reserved for the attempts of a request; each attempt uses
 #: one.
 FLOWS_PER_REQUEST: Final = 8
+#: Interval at which the capacity of the targets is recorded, in seconds.
+CAPACITY_SAMPLE_INTERVAL_S: Final = 0.05
 _MS_PER_S: Final = 1000
 
 
+class Refusal(msgspec.Struct, frozen=True):
+    """Opening that an instance has reset.
+
+    Parameters
+    ----------
+    at_s : float
+        Time in seconds.
+    kind : str
+        Name of the request class.
+    free_for_s : float or None
+        Time for which a target of the service has had a free slot, in seconds;
+        None if there is none that has.
+    """
+
+    at_s: float
+    kind: str
+    free_for_s: float | None
+
+
 class Emulation:
     """One run of a scenario under one policy.
 
@@ -73,6 +100,8 @@
     seed : int
         Seed of all random choices. Callers have a random generator of their
         own, so that all policies get the same requests.
+    engine_factory : callable
+        Builds the engine of each instance from its parts.
 
     Attributes
     ----------
@@ -82,12 +111,19 @@
         Random source for the faults.
     outcomes : list of Outcome
         Results of the requests that have ended.
-    rate_factor : float
-        Factor of the request rate; above 1 during a burst.
+    refusals : list of Refusal
+        Openings that instances have reset.
+    capacities : list of tuple of float
+        Times in seconds, and the work in seconds that all targets together
+        can do in a second from then on.
+    load : LoadGenerator
+        Arrivals of requests.
+    target_list : TargetList
+        Ends and starts targets.
+    lost_reports : float
+        Share of the load reports that are lost.
     isolated_zones : set of str
         Zones that cannot exchange packets with other zones.
-    is_store_down : bool
-        Whether the store is away.
     checks, evidence_sent : int
         Checks of targets, and datagrams with evidence between instances.
     targets : list of EmulatedTarget
@@ -96,41 +132,59 @@
         Instances of all zones.
     """
 
-    def __init__(self, day: Day, policy: Policy, seed: int) -> None:
+    def __init__(
+        self,
+        day: Day,
+        policy: Policy,
+        seed: int,
+        engine_factory: EngineFactory = build_engine,
+    ) -> None:
         self.clock = VirtualClock()
         self.rng = random.Random(f'faults {seed}')
         self.outcomes: list[Outcome] = []
-        self.rate_factor: float = 1
+        self.refusals: list[Refusal] = []
+        self.capacities: list[tuple[float, float]] = []
+        self.lost_reports: float = 0
         self.isolated_zones: set[str] = set()
-        self.is_store_down = False
         self._day = day
         self._policy = policy
-        self._caller_rng = random.Random(f'callers {seed}')
-        self._requests: dict[int, CallerRequest] = {}
+        self._engine_factory = engine_factory
+        self._network_rng = random.Random(f'network {seed}')
+        self._requests: dict[int, CallerRequest | CallerFlow] = {}
+        self.load = LoadGenerator(
+            day,
+            self.clock,
+            random.Random(f'callers {seed}'),
+            self._start_request,
+        )
+        self._pools = CallerPools(
+            day.classes,
+            self.clock,
+            self._take_flow_number,
+            self._send_from_caller,
+        )
         self._next_flow = 0
         self._routed_instances: dict[str, tuple[EmulatedInstance, ...]] = {}
         self._failed_probes: Counter[tuple[str, str]] = Counter()
         self.checks = 0
         self.evidence_sent = 0
         self.targets = self._build_targets()
-        self._store = EmulatedStore(self.clock)
-        for target in self.targets:
-            self._store.write(target.record())
         self._targets_by_address = {each.address: each for each in self.targets}
         self.instances = self._build_instances()
+        self.target_list = TargetList(
+            self.clock, self.rng, self.targets, self.instances
+        )
         self._instance_records = tuple(each.record for each in self.instances)
         self._report_receivers = self._find_report_receivers()
 
     def run(self) -> None:
         """Run the scenario to its end."""
         for instance in self.instances:
-            instance.start(self._store.read(), self._instance_records)
+            instance.start(self.target_list.read(), self._instance_records)
         self._probe_instances()
         self._expire_entries()
-        for zone, rate in zip(
-            self._day.zones, self._day.requests_per_s, strict=True
-        ):
-            self._generate_requests(zone, rate)
+        self._sample_capacity()
+        self.load.start()
         if self._policy.shares_counts:
             self._exchange_reports()
         for fault in self._day.faults:
@@ -139,31 +193,6 @@
 
     # Faults
 
-    def fail_target(
-        self, target: EmulatedTarget, for_s: float, *, resets: bool = False
-    ) -> None:
-        """Make a target unresponsive for a time, in seconds.
-
-        With `resets`, its host resets the openings that reach it.
-
-        It is removed from the target list when its heartbeats are overdue,
-        and starts cold afterwards.
-        """
-        target.is_unresponsive = True
-        target.resets_openings = resets
-        removal_delay_s = MISSED_HEARTBEAT_LIMIT * HEARTBEAT_INTERVAL_S
-        self.clock.call_after(removal_delay_s, self._schedule_removal, target)
-        self.clock.call_after(for_s, self._restore_target, target)
-
-    def restart_target(self, target: EmulatedTarget, for_s: float) -> None:
-        """Restart a target as planned; it is down for a time, in seconds.
-
-        It withdraws its entry from the target list itself, and starts cold.
-        """
-        target.is_unresponsive = True
-        self._schedule_removal(target)
-        self.clock.call_after(for_s, self._restore_target, target)
-
     def stop_instance(self, instance: EmulatedInstance) -> None:
         """Stop an instance as planned and start it again.
 
@@ -181,32 +210,6 @@
             for_s + PROCESS_START_S, self._start_instance, instance
         )
 
-    def restore_store(self, for_s: float, age_s: float) -> None:
-        """Take the store away, and restore it from a copy.
-
-        Parameters
-        ----------
-        for_s : float
-            Duration of the outage, in seconds.
-        age_s : float
-            Age of the copy at the end of the outage, in seconds.
-        """
-        self.is_store_down = True
-        self.clock.call_after(for_s, self._return_store, age_s)
-
-    def _return_store(self, age_s: float) -> None:
-        """End the outage; targets write again, or their entries end."""
-        self.is_store_down = False
-        self._store.restore(age_s)
-        self._pass_on(self._store.read())
-        for target in self.targets:
-            if target.is_unresponsive:
-                silence_s = MISSED_HEARTBEAT_LIMIT * HEARTBEAT_INTERVAL_S
-                self.clock.call_after(silence_s, self._schedule_removal, target)
-            else:
-                delay_s = self.rng.uniform(0, HEARTBEAT_INTERVAL_S)
-                self.clock.call_after(delay_s, self._add_to_directories, target)
-
     # Checks and evidence
 
     def check(self, instance: EmulatedInstance, target: KnownTarget) -> None:
@@ -278,6 +281,7 @@
                 self.clock,
                 self._send_from_instance,
                 self,
+                self._engine_factory,
             )
             for number, zone in enumerate(
                 self._zones_of_members(self._day.instances)
@@ -296,32 +300,33 @@
 
     # Callers
 
-    def _generate_requests(self, zone: str, rate: float) -> None:
-        now_s = self.clock.now_s
-        if now_s >= self._day.length_s:
+    def _start_request(
+        self, number: int, zone: str, rng: random.Random
+    ) -> None:
+        request_class = self._day.classes[number]
+        destination = destination_of(number)
+        if request_class.response_bytes:
+            caller = self._pools.draw(number, zone, destination, rng)
+            FlowRequest(caller, rng, self.outcomes.append)
             return
-        classes = self._day.classes
-        number = self._caller_rng.choices(
-            range(len(classes)), [each.share for each in classes]
-        )[0]
-        flow = self._next_flow * FLOWS_PER_REQUEST
-        self._next_flow += 1
-        request_rng = random.Random(self._caller_rng.random())
-        delay_s = self._caller_rng.expovariate(rate * self.rate_factor)
         CallerRequest(
-            flow,
-            classes[number],
+            self._take_flow_number(),
+            request_class,
             zone,
-            destination_of(number),
+            destination,
             self.clock,
-            request_rng,
+            rng,
             self._send_from_caller,
             self.outcomes.append,
         )
-        self.clock.call_after(delay_s, self._generate_requests, zone, rate)
+
+    def _take_flow_number(self) -> int:
+        number = self._next_flow * FLOWS_PER_REQUEST
+        self._next_flow += 1
+        return number
 
     def _send_from_caller(
-        self, req: CallerRequest, packet: PacketHeader
+        self, req: CallerRequest | CallerFlow, packet: PacketHeader
     ) -> None:
         self._requests[req.flow // FLOWS_PER_REQUEST] = req
         routed = self._routed_instances[req.zone]
@@ -345,7 +350,7 @@
     def _is_routed(self, zone: str, instance: EmulatedInstance) -> bool:
         """Probe an instance; return whether a zone's routers use it."""
         key = (zone, instance.name)
-        is_reachable = instance.is_ready and not self._is_partitioned(
+        is_reachable = instance.answers_probes and not self._is_partitioned(
             zone, instance.zone
         )
         self._failed_probes[key] = (
@@ -354,25 +359,25 @@
         return self._failed_probes[key] < PROBE_FAILURE_THRESHOLD
 
     def _exchange_reports(self) -> None:
-        running = [each for each in self.instances if each.is_up]
+        running = [each for each in self.instances if each.is_running]
         for sender in running:
             report = sender.report()
+            if report is None:
+                continue
             for receiver in self._report_receivers[sender.name]:
                 if not receiver.is_up or self._is_partitioned(
                     sender.zone, receiver.zone
                 ):
                     continue
+                if self._network_rng.random() < self.lost_reports:
+                    continue
                 delay_s = self._delay_s(sender.zone, receiver.zone)
                 self.clock.call_after(delay_s, receiver.on_report, report)
         self.clock.call_after(REPORT_INTERVAL_S, self._exchange_reports)
 
     def _start_instance(self, instance: EmulatedInstance) -> None:
         """Start an instance with the current entries of the live targets."""
-        live = [each for each in self.targets if not each.is_unresponsive]
-        for target in live:
-            self._store.write(target.record())
-        listed = self._store.read({each.record().name for each in live})
-        instance.start(listed, self._instance_records)
+        instance.start(self.target_list.read_live(), self._instance_records)
 
     def _is_partitioned(self, zone_a: str, zone_b: str) -> bool:
         return zone_a != zone_b and bool(self.isolated_zones & {zone_a, zone_b})
@@ -380,8 +385,6 @@
     def _delay_s(self, zone_a: str, zone_b: str) -> float:
         return 0 if zone_a == zone_b else self._day.cross_zone_ms / _MS_PER_S
 
-    # Targets
-
     def _send_from_instance(
         self, instance: EmulatedInstance, address: Address, packet: PacketHeader
     ) -> None:
@@ -389,6 +392,7 @@
         if target is None:
             delay_s = self._day.caller_ms / _MS_PER_S
             flow = int.from_bytes(packet.flow[:6])
+            self._note_refusal(packet)
             self.clock.call_after(delay_s, self._send_reset, flow)
         elif not self._is_partitioned(instance.zone, target.zone):
             delay_s = self._delay_s(instance.zone, target.zone)
@@ -413,9 +417,34 @@
         if packet.flags & SYN:
             token = token_of(target.number)
             self.clock.call_after(delay_s, req.on_accepted, flow, token)
+        elif isinstance(req, CallerFlow):
+            req.on_target_packet(target, packet, delay_s)
         elif not packet.flags & (FIN | RST):
             self._run_request(target, req, flow)
 
+    def _note_refusal(self, packet: PacketHeader) -> None:
+        """Record a reset by an instance, and whether a target is free."""
+        request_class = self._day.classes[class_number_of(packet.destination)]
+        free_since_s = [
+            target.free_since_s
+            for target in self.targets
+            if target.layout.name == request_class.service
+            and target.is_usable
+            and target.free_since_s is not None
+        ]
+        now_s = self.clock.now_s
+        free_for_s = now_s - min(free_since_s) if free_since_s else None
+        self.refusals.append(Refusal(now_s, request_class.name, free_for_s))
+
+    def _sample_capacity(self) -> None:
+        """Record what the targets can do, for as long as callers send."""
+        now_s = self.clock.now_s
+        if now_s > self._day.length_s:
+            return
+        capacity = sum(each.capacity for each in self.targets)
+        self.capacities.append((now_s, capacity))
+        self.clock.call_after(CAPACITY_SAMPLE_INTERVAL_S, self._sample_capacity)
+
     def _run_request(
         self, target: EmulatedTarget, req: CallerRequest, flow: int
     ) -> None:
@@ -433,34 +462,6 @@
     def _send_reset(self, flow: int) -> None:
         self._requests[flow // FLOWS_PER_REQUEST].on_reset(flow)
 
-    def _schedule_removal(self, target: EmulatedTarget) -> None:
-        if not target.is_unresponsive:
-            return
-        self.clock.call_after(
-            TARGET_LIST_DELAY_S, self._remove_from_directories, target
-        )
-
-    def _remove_from_directories(self, target: EmulatedTarget) -> None:
-        if target.is_unresponsive:
-            self._pass_on(self._store.remove(f'i-{target.number:x}'))
-
-    def _restore_target(self, target: EmulatedTarget) -> None:
-        target.is_unresponsive = False
-        target.restart()
-        self.clock.call_after(
-            TARGET_LIST_DELAY_S, self._add_to_directories, target
-        )
-
-    def _add_to_directories(self, target: EmulatedTarget) -> None:
-        if not target.is_unresponsive:
-            self._pass_on(self._store.write(target.record()))
-
-    def _pass_on(self, changes: PrefixChanges) -> None:
-        if self.is_store_down:
-            return
-        for instance in self.instances:
-            instance.on_list(changes)
-
     def _expire_entries(self) -> None:
         for instance in self.instances:
             instance.expire()
--- a/siskinproxy/emulator/faults.py
+++ b/siskinproxy/emulator/faults.py
@@ -5,6 +5,7 @@
 from typing import Any, Final, TypeVar
 
 from siskinproxy.emulator.day import Fault
+from siskinproxy.emulator.instances import ReportMode
 
 __all__ = ('apply_fault',)
 
@@ -34,18 +35,25 @@
 
 def _fail_targets(emulation: Any, fault: Fault) -> None:
     for target in _sample(emulation, emulation.targets, fault.share):
-        emulation.fail_target(target, fault.for_s)
+        emulation.target_list.fail_target(target, fault.for_s)
 
 
 def _end_zone_targets(emulation: Any, fault: Fault) -> None:
     for target in emulation.targets:
         if target.zone == fault.zone:
-            emulation.fail_target(target, fault.for_s, resets=True)
+            emulation.target_list.fail_target(target, fault.for_s, resets=True)
 
 
 def _slow_targets(emulation: Any, fault: Fault) -> None:
     for target in _sample(emulation, emulation.targets, fault.share):
         target.slowness = fault.factor
+        emulation.clock.call_after(
+            fault.for_s / 2,
+            setattr,
+            target,
+            'slowness',
+            fault.next_factor or fault.factor,
+        )
         emulation.clock.call_after(fault.for_s, setattr, target, 'slowness', 1)
 
 
@@ -54,7 +62,10 @@
         _sample(emulation, emulation.targets, fault.share)
     ):
         emulation.clock.call_after(
-            number * fault.gap_s, emulation.restart_target, target, fault.for_s
+            number * fault.gap_s,
+            emulation.target_list.restart_target,
+            target,
+            fault.for_s,
         )
 
 
@@ -79,14 +90,49 @@
 
 
 def _start_burst(emulation: Any, fault: Fault) -> None:
-    emulation.rate_factor = fault.factor
+    if fault.request_class:
+        factors, keys = emulation.load.class_factors, (fault.request_class,)
+    else:
+        factors = emulation.load.zone_factors
+        keys = (fault.zone,) if fault.zone else emulation.load.zones
+    for key in keys:
+        factors[key] = fault.factor
+        emulation.clock.call_after(fault.for_s, factors.pop, key, None)
+
+
+def _drain_targets(emulation: Any, fault: Fault) -> None:
+    for target in _sample(emulation, emulation.targets, fault.share):
+        emulation.target_list.drain_target(target, fault.for_s)
+
+
+def _pause_instances(emulation: Any, fault: Fault) -> None:
+    for instance in _sample(emulation, emulation.instances, fault.share):
+        instance.pause()
+        emulation.clock.call_after(fault.for_s, instance.resume)
+
+
+def _lose_reports(emulation: Any, fault: Fault) -> None:
+    emulation.lost_reports = fault.share
     emulation.clock.call_after(
-        fault.for_s, setattr, emulation, 'rate_factor', 1
+        fault.for_s, setattr, emulation, 'lost_reports', 0
+    )
+
+
+def _report_wrongly(emulation: Any, fault: Fault) -> None:
+    mode = (
+        ReportMode.SILENT
+        if fault.kind == 'reports_silent'
+        else ReportMode.ALL_FULL
     )
+    for instance in _sample(emulation, emulation.instances, fault.share):
+        instance.report_mode = mode
+        emulation.clock.call_after(
+            fault.for_s, setattr, instance, 'report_mode', ReportMode.TRUE
+        )
 
 
 def _restore_store(emulation: Any, fault: Fault) -> None:
-    emulation.restore_store(fault.for_s, fault.age_s)
+    emulation.target_list.restore_store(fault.for_s, fault.age_s)
 
 
 _INJECTORS: Final[Mapping[str, _Injector]] = {
@@ -99,4 +145,9 @@
     'zone_cut': _isolate_zone,
     'burst': _start_burst,
     'store_restored': _restore_store,
+    'targets_leave': _drain_targets,
+    'instances_pause': _pause_instances,
+    'reports_lost': _lose_reports,
+    'reports_wrong': _report_wrongly,
+    'reports_silent': _report_wrongly,
 }
--- a/siskinproxy/emulator/instances.py
+++ b/siskinproxy/emulator/instances.py
@@ -1,8 +1,11 @@
 """Load balancer instances: the product's engine run in virtual time."""
 
+import enum
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
+import msgspec
+
 from siskinproxy.emulator.clock import VirtualClock
 from siskinproxy.emulator.day import Day
 from siskinproxy.emulator.policies import Policy
@@ -10,11 +13,16 @@
 from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
 from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
-from siskinproxy.entry.engine import EntryEngine
+from siskinproxy.entry.engine import (
+    EngineTiming,
+    EntryEngine,
+    EventSink,
+    Outbox,
+)
 from siskinproxy.entry.evidence import EvidenceReport
 from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
 from siskinproxy.entry.load_view import LoadReport, LoadView
-from siskinproxy.entry.packets import RST, PacketHeader
+from siskinproxy.entry.packets import RST, PacketCodec, PacketHeader
 from siskinproxy.entry.records import (
     Address,
     OperatorConfiguration,
@@ -25,11 +33,17 @@
 from siskinproxy.entry.responsiveness import CheckOutcome, Responsiveness
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.store import PrefixChanges
+from siskinproxy.entry.target_selection import Placer
 
 __all__ = (
     'DetectionNetwork',
     'EmulatedInstance',
+    'EngineFactory',
+    'EngineParts',
+    'ReportMode',
     'build_configuration',
+    'build_engine',
+    'class_number_of',
     'destination_of',
 )
 
@@ -37,6 +51,11 @@
 _MS_PER_S: Final = 1000
 #: Checks that an instance starts at the same time.
 _MAX_CHECKS: Final = 16
+#: Flows that an instance with wrong reports claims at each target.
+_WRONG_FLOWS: Final = 50
+#: Packets and messages that are kept for a paused process; the socket buffers
+#: drop further ones.
+_MAX_HELD_BACK: Final = 1000
 
 
 def destination_of(number: int) -> bytes:
@@ -44,6 +63,11 @@
     return bytes((198, 18, 0, 1 + number, 1, 187))
 
 
+def class_number_of(destination: bytes) -> int:
+    """Return the number of the request class of a destination."""
+    return destination[3] - 1
+
+
 def build_configuration(day: Day) -> OperatorConfiguration:
     """Return a configuration with one route for each request class."""
     return OperatorConfiguration(
@@ -56,7 +80,7 @@
                 kind=each.kind,
                 deadline_s=each.deadline_ms / _MS_PER_S,
                 objective_s=each.aim_ms / _MS_PER_S,
-                priority=1,
+                priority=each.priority,
             )
             for number, each in enumerate(day.classes)
         ),
@@ -110,6 +134,71 @@
         """Discard an event."""
 
 
+class ReportMode(enum.Enum):
+    """What an instance tells the others in its load reports."""
+
+    TRUE = 'true'
+    #: All targets have far more flows than slots.
+    ALL_FULL = 'all_full'
+    SILENT = 'silent'
+
+
+class EngineParts(msgspec.Struct, frozen=True):
+    """What an engine is built from.
+
+    Parameters
+    ----------
+    instance : InstanceRecord
+        Instance that runs the engine.
+    codec, directory, routes, placer, responsiveness, outbox, events
+        As `EntryEngine`.
+    loads : LoadView
+        Number of flows in progress at each target.
+    """
+
+    instance: InstanceRecord
+    codec: PacketCodec
+    directory: TargetDirectory
+    routes: RouteTable
+    placer: Placer
+    responsiveness: Responsiveness
+    outbox: Outbox
+    events: EventSink
+    loads: LoadView
+
+
+EngineFactory = Callable[[EngineParts], EntryEngine]
+
+
+def build_engine(
+    parts: EngineParts, timing: EngineTiming | None = None
+) -> EntryEngine:
+    """Build the engine of an instance.
+
+    Parameters
+    ----------
+    parts : EngineParts
+        Parts of the engine.
+    timing : EngineTiming or None
+        Timeouts and intervals; the product's if None.
+
+    Returns
+    -------
+    EntryEngine
+        Engine.
+    """
+    return EntryEngine(
+        parts.codec,
+        parts.directory,
+        parts.routes,
+        parts.placer,
+        parts.responsiveness,
+        parts.outbox,
+        parts.events,
+        timing,
+    )
+
+
 class EmulatedInstance:
     """An instance of the load balancer.
 
@@ -127,6 +216,8 @@
         Called with this instance, the address of the receiver and a header.
     network : DetectionNetwork
         Carries checks and evidence on targets.
+    engine_factory : callable
+        Builds the engine at each start.
 
     Attributes
     ----------
@@ -134,6 +225,8 @@
         Whether the process runs.
     is_ready : bool
         Whether it answers readiness probes with success.
+    report_mode : ReportMode
+        What it tells the others in its load reports.
     incarnation : int
         Number of starts; timers set by an earlier incarnation are ignored.
     """
@@ -147,11 +240,13 @@
         clock: VirtualClock,
         send: Callable[['EmulatedInstance', Address, PacketHeader], None],
         network: DetectionNetwork,
+        engine_factory: EngineFactory = build_engine,
     ) -> None:
         self.name = name
         self.zone = zone
         self.is_up = False
         self.is_ready = False
+        self.report_mode = ReportMode.TRUE
         self.incarnation = 0
         self.record = InstanceRecord(name, zone, '127.0.0.1', 1)
         self._day = day
@@ -159,6 +254,8 @@
         self._clock = clock
         self._send = send
         self._network = network
+        self._engine_factory = engine_factory
+        self._held_back: list[tuple[Callable[..., None], Any]] | None = None
         self._timer_s: float | None = None
         self._instances: tuple[InstanceRecord, ...] = ()
 
@@ -204,20 +301,57 @@
         placer = self._policy.build_placer(
             self.zone, cold_limit, self.responsiveness, self.loads
         )
-        self.engine = EntryEngine(
-            _HeaderCodec(),
-            self.directory,
-            routes,
-            placer,
-            self.responsiveness,
-            self,
-            _NullEventLog(),
+        self.engine = self._engine_factory(
+            EngineParts(
+                self.record,
+                _HeaderCodec(),
+                self.directory,
+                routes,
+                placer,
+                self.responsiveness,
+                self,
+                _NullEventLog(),
+                self.loads,
+            )
         )
 
     def stop(self) -> None:
         """End the process at once, without notice to callers or instances."""
         self.is_up = False
         self.is_ready = False
+        self._held_back = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.is_up and self._held_back is None
+
+    @property
+    def answers_probes(self) -> bool:
+        """Whether a readiness probe gets success in time."""
+        return self.is_ready and self._held_back is None
+
+    def pause(self) -> None:
+        """Let the process stand still until `resume`."""
+        if self.is_running:
+            self._held_back = []
+
+    def resume(self) -> None:
+        """Handle what has arrived during the pause, and go on."""
+        held_back = self._held_back or ()
+        self._held_back = None
+        for action, arguments in held_back:
+            action(*arguments)
+        if self.is_up:
+            self._run_timer()
+
+    def _hold_back(self, action: Callable[..., None], *arguments: Any) -> bool:
+        """Return whether an event has to wait for the end of a pause."""
+        if self._held_back is None:
+            return False
+        if len(self._held_back) < _MAX_HELD_BACK:
+            self._held_back.append((action, arguments))
+        return True
 
     def send(self, address: Address, datagram: Any) -> None:
         """Send a header; the engine calls it to send a packet."""
@@ -231,6 +365,8 @@
         changes : PrefixChanges
             Answer of the store.
         """
+        if self._hold_back(self.on_list, changes):
+            return
         if self.is_up:
             self._cluster_state.apply_changes(
                 changes, self._clock.now_s, source='store'
@@ -238,28 +374,41 @@
 
     def expire(self) -> None:
         """Do the periodic work on targets that lapsed or are held back."""
-        if self.is_up:
+        if self.is_running:
             self._cluster_state.expire(self._clock.now_s)
             self.directory.expire(self._clock.now_s)
 
     def on_packet(self, head: PacketHeader) -> None:
         """Handle a packet from the fabric."""
+        if self._hold_back(self.on_packet, head):
+            return
         if self.is_up:
             self.engine.on_packet(head, self._clock.now_s)
             self._run_timer()
 
-    def report(self) -> LoadReport:
-        """Return the load report for the other instances."""
-        return LoadReport(
+    def report(self) -> LoadReport | None:
+        """Return the load report for the other instances, None for none."""
+        if self.report_mode is ReportMode.SILENT:
+            return None
+        report = LoadReport(
             self.name,
             self.zone,
             not self.is_ready,
             dict(self.loads.own_flows),
             self.engine.take_ended_hashes(),
         )
+        if self.report_mode is ReportMode.ALL_FULL:
+            flows = {
+                target.token: _WRONG_FLOWS
+                for target in self.directory.targets()
+            }
+            return msgspec.structs.replace(report, flows=flows)
+        return report
 
     def on_report(self, report: LoadReport) -> None:
         """Apply the load report of another instance."""
+        if self._hold_back(self.on_report, report):
+            return
         if self.is_up:
             now_s = self._clock.now_s
             self.loads.apply_report(report, now_s)
@@ -270,6 +419,8 @@
 
     def on_evidence(self, report: EvidenceReport) -> None:
         """Apply the evidence of another instance."""
+        if self._hold_back(self.on_evidence, report):
+            return
         if self.is_up:
             self.responsiveness.apply_report(report, self._clock.now_s)
             self._run_timer()
@@ -282,6 +433,10 @@
         sent_s: float,
     ) -> None:
         """Apply the outcome of a check that this incarnation has started."""
+        if self._hold_back(
+            self.on_checked, incarnation, target, outcome, sent_s
+        ):
+            return
         if self.is_up and incarnation == self.incarnation:
             self.responsiveness.note_check(
                 target, outcome, sent_s, self._clock.now_s
@@ -319,6 +474,8 @@
             self._clock.call_at(due_s, self._on_timer, self.incarnation, due_s)
 
     def _on_timer(self, incarnation: int, due_s: float) -> None:
+        if self._hold_back(self._on_timer, incarnation, due_s):
+            return
         if (
             self.is_up
             and incarnation == self.incarnation
--- a/siskinproxy/emulator/targets.py
+++ b/siskinproxy/emulator/targets.py
@@ -55,10 +55,18 @@
         Whether its host resets the openings that reach it meanwhile.
     slowness : float
         Factor by which requests take longer; 1 without a fault.
+    is_draining : bool
+        Whether it closes each flow after its next response, before it ends.
+    starts : int
+        Number of starts; flows end with the start that accepted them.
     ran : int
         Number of requests whose execution started.
     shed : int
         Number of requests rejected because the queue was full.
+    arrived : int
+        Number of requests that arrived, with those rejected.
+    free_since_s : float or None
+        Time from which on a slot has been free, in seconds; None if none is.
     """
 
     def __init__(
@@ -75,8 +83,12 @@
         self.is_unresponsive = False
         self.resets_openings = False
         self.slowness: float = 1
+        self.is_draining = False
+        self.starts = 1
         self.ran = 0
         self.shed = 0
+        self.arrived = 0
+        self.free_since_s: float | None = clock.now_s
         self._clock = clock
         self._cold_until_s: float = 0
         self._executing: set[int] = set()
@@ -92,7 +104,7 @@
             address=self.address,
             zone=self.zone,
             slots=self.layout.slots,
-            is_draining=False,
+            is_draining=self.is_draining,
             warmup_left_s=warmup_left_s,
             # Tells a restarted target from the earlier one; the end of the
             # warm-up in virtual time serves this as well as the start does.
@@ -100,10 +112,28 @@
             revision=self.number,
         )
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether it runs and is not about to end."""
+        return not (self.is_unresponsive or self.is_draining)
+
+    @property
+    def capacity(self) -> float:
+        """Work that it can do, in seconds of a warm target per second.
+
+        One that drains does the work that it has.
+        """
+        if self.is_unresponsive:
+            return 0
+        slots = len(self._executing) if self.is_draining else self.layout.slots
+        return slots / self.slowness
+
     def restart(self) -> None:
         """Drop all requests and start cold."""
         self._executing.clear()
         self._queue.clear()
+        self.starts += 1
+        self.free_since_s = self._clock.now_s
         self._cold_until_s = self._clock.now_s + self.layout.cold_s
 
     def accept(self, job: Job) -> bool:
@@ -119,6 +149,7 @@
         bool
             False if the queue is full; then the request is not executed.
         """
+        self.arrived += 1
         if len(self._executing) < self.layout.slots:
             self._start(job)
             return True
@@ -134,6 +165,12 @@
         self._executing.add(number)
         is_cold = self._clock.now_s < self._cold_until_s
         factor = self.layout.cold_factor if is_cold else 1
+        if len(self._executing) >= self.layout.slots:
+            self.free_since_s = None
+        layout = self.layout
+        in_progress = len(self._executing) + len(self._queue)
+        excess = max(in_progress - layout.concurrency_limit, 0)
+        factor *= 1 + layout.concurrency_factor * excess
         work_s = job.work_s * factor * self.slowness
         self._clock.call_after(work_s, self._finish, number, job)
 
@@ -145,3 +182,5 @@
             job.on_done()
         if self._queue:
             self._start(self._queue.popleft())
+        elif self.free_since_s is None:
+            self.free_since_s = self._clock.now_s
