Split the emulator's modules by subject

Change: `engines` has the parts and the factory of engines, `routers` the readiness probes, `recorder` refusals and capacity, `caller_flow` a flow of a caller. No behaviour changes.

--- a/siskinproxy/emulator/emulation.py
+++ b/siskinproxy/emulator/emulation.py
@@ -2,30 +2,25 @@
 
 import random
 import zlib
-from collections import Counter
 from functools import partial
 from typing import Final
 
-import msgspec
-
+from siskinproxy.emulator.caller_flow import CallerFlow
 from siskinproxy.emulator.callers import CallerRequest, Outcome
 from siskinproxy.emulator.clock import VirtualClock
 from siskinproxy.emulator.day import Day
-from siskinproxy.emulator.faults import apply_fault
-from siskinproxy.emulator.flow_callers import (
-    CallerFlow,
-    CallerPools,
-    FlowRequest,
-)
-from siskinproxy.emulator.instances import (
-    EmulatedInstance,
+from siskinproxy.emulator.engines import (
     EngineFactory,
     build_engine,
-    class_number_of,
     destination_of,
 )
+from siskinproxy.emulator.faults import apply_fault
+from siskinproxy.emulator.flow_callers import CallerPools, FlowRequest
+from siskinproxy.emulator.instances import EmulatedInstance
 from siskinproxy.emulator.load import LoadGenerator
 from siskinproxy.emulator.policies import Policy
+from siskinproxy.emulator.recorder import Recorder
+from siskinproxy.emulator.routers import Routers
 from siskinproxy.emulator.target_list import TargetList
 from siskinproxy.emulator.targets import EmulatedTarget, Job
 from siskinproxy.entry.directory import KnownTarget
@@ -36,12 +31,8 @@
 from siskinproxy.entry.responsiveness import CheckOutcome
 from siskinproxy.entry.target_check import CHECK_TIMEOUT_S
 
-__all__ = ('Emulation', 'Refusal', 'emulate')
+__all__ = ('Emulation', 'emulate')
 
-#: Interval of the routers' readiness probes, in seconds, and number of
-#: consecutive failures after which they route no more packets to an instance.
-PROBE_INTERVAL_S: Final = 0.5
-PROBE_FAILURE_THRESHOLD: Final = 2
 #: Time from the start of an instance's process until it can receive packets,
 #: in seconds, with 0.236 of a CPU core.
 PROCESS_START_S: Final = 0.6
@@ -64,30 +55,9 @@
 #: Flow numbers reserved for the attempts of a request; each attempt uses
 #: one.
 FLOWS_PER_REQUEST: Final = 8
-#: Interval at which the capacity of the targets is recorded, in seconds.
-CAPACITY_SAMPLE_INTERVAL_S: Final = 0.05
 _MS_PER_S: Final = 1000
 
 
-class Refusal(msgspec.Struct, frozen=True):
-    """Opening that an instance has reset.
-
-    Parameters
-    ----------
-    at_s : float
-        Time in seconds.
-    kind : str
-        Name of the request class.
-    free_for_s : float or None
-        Time for which a target of the service has had a free slot, in seconds;
-        None if there is none that has.
-    """
-
-    at_s: float
-    kind: str
-    free_for_s: float | None
-
-
 class Emulation:
     """One run of a scenario under one policy.
 
@@ -111,19 +81,16 @@
         Random source for the faults.
     outcomes : list of Outcome
         Results of the requests that have ended.
-    refusals : list of Refusal
-        Openings that instances have reset.
-    capacities : list of tuple of float
-        Times in seconds, and the work in seconds that all targets together
-        can do in a second from then on.
+    recorder : Recorder
+        Refusals, and what the targets could do.
+    routers : Routers
+        Routers of the zones; they know the zones that are cut off.
     load : LoadGenerator
         Arrivals of requests.
     target_list : TargetList
         Ends and starts targets.
     lost_reports : float
         Share of the load reports that are lost.
-    isolated_zones : set of str
-        Zones that cannot exchange packets with other zones.
     checks, evidence_sent : int
         Checks of targets, and datagrams with evidence between instances.
     targets : list of EmulatedTarget
@@ -142,10 +109,7 @@
         self.clock = VirtualClock()
         self.rng = random.Random(f'faults {seed}')
         self.outcomes: list[Outcome] = []
-        self.refusals: list[Refusal] = []
-        self.capacities: list[tuple[float, float]] = []
         self.lost_reports: float = 0
-        self.isolated_zones: set[str] = set()
         self._day = day
         self._policy = policy
         self._engine_factory = engine_factory
@@ -164,8 +128,6 @@
             self._send_from_caller,
         )
         self._next_flow = 0
-        self._routed_instances: dict[str, tuple[EmulatedInstance, ...]] = {}
-        self._failed_probes: Counter[tuple[str, str]] = Counter()
         self.checks = 0
         self.evidence_sent = 0
         self.targets = self._build_targets()
@@ -174,6 +136,8 @@
         self.target_list = TargetList(
             self.clock, self.rng, self.targets, self.instances
         )
+        self.routers = Routers(self.clock, day.zones, self.instances)
+        self.recorder = Recorder(day, self.clock, self.targets)
         self._instance_records = tuple(each.record for each in self.instances)
         self._report_receivers = self._find_report_receivers()
 
@@ -181,9 +145,9 @@
         """Run the scenario to its end."""
         for instance in self.instances:
             instance.start(self.target_list.read(), self._instance_records)
-        self._probe_instances()
+        self.routers.probe()
         self._expire_entries()
-        self._sample_capacity()
+        self.recorder.sample_capacity()
         self.load.start()
         if self._policy.shares_counts:
             self._exchange_reports()
@@ -216,7 +180,7 @@
         """Check a target; the outcome goes to `EmulatedInstance.on_checked`."""
         checked = self._targets_by_address[target.record.address]
         self.checks += 1
-        if self._is_partitioned(instance.zone, checked.zone) or (
+        if self.routers.is_partitioned(instance.zone, checked.zone) or (
             checked.is_unresponsive and not checked.resets_openings
         ):
             outcome, took_s = CheckOutcome.TIMED_OUT, CHECK_TIMEOUT_S
@@ -329,35 +293,17 @@
         self, req: CallerRequest | CallerFlow, packet: PacketHeader
     ) -> None:
         self._requests[req.flow // FLOWS_PER_REQUEST] = req
-        routed = self._routed_instances[req.zone]
+        routed = self.routers.instances_of(req.zone)
         if not routed:
             return
         instance = routed[zlib.crc32(packet.flow) % len(routed)]
-        if self._is_partitioned(req.zone, instance.zone):
+        if self.routers.is_partitioned(req.zone, instance.zone):
             return
         delay_s = self._day.caller_ms / _MS_PER_S
         self.clock.call_after(delay_s, instance.on_packet, packet)
 
     # Fabric
 
-    def _probe_instances(self) -> None:
-        for zone in self._day.zones:
-            self._routed_instances[zone] = tuple(
-                each for each in self.instances if self._is_routed(zone, each)
-            )
-        self.clock.call_after(PROBE_INTERVAL_S, self._probe_instances)
-
-    def _is_routed(self, zone: str, instance: EmulatedInstance) -> bool:
-        """Probe an instance; return whether a zone's routers use it."""
-        key = (zone, instance.name)
-        is_reachable = instance.answers_probes and not self._is_partitioned(
-            zone, instance.zone
-        )
-        self._failed_probes[key] = (
-            0 if is_reachable else self._failed_probes[key] + 1
-        )
-        return self._failed_probes[key] < PROBE_FAILURE_THRESHOLD
-
     def _exchange_reports(self) -> None:
         running = [each for each in self.instances if each.is_running]
         for sender in running:
@@ -365,7 +311,7 @@
             if report is None:
                 continue
             for receiver in self._report_receivers[sender.name]:
-                if not receiver.is_up or self._is_partitioned(
+                if not receiver.is_up or self.routers.is_partitioned(
                     sender.zone, receiver.zone
                 ):
                     continue
@@ -379,9 +325,6 @@
         """Start an instance with the current entries of the live targets."""
         instance.start(self.target_list.read_live(), self._instance_records)
 
-    def _is_partitioned(self, zone_a: str, zone_b: str) -> bool:
-        return zone_a != zone_b and bool(self.isolated_zones & {zone_a, zone_b})
-
     def _delay_s(self, zone_a: str, zone_b: str) -> float:
         return 0 if zone_a == zone_b else self._day.cross_zone_ms / _MS_PER_S
 
@@ -392,9 +335,9 @@
         if target is None:
             delay_s = self._day.caller_ms / _MS_PER_S
             flow = int.from_bytes(packet.flow[:6])
-            self._note_refusal(packet)
+            self.recorder.note_refusal(packet)
             self.clock.call_after(delay_s, self._send_reset, flow)
-        elif not self._is_partitioned(instance.zone, target.zone):
+        elif not self.routers.is_partitioned(instance.zone, target.zone):
             delay_s = self._delay_s(instance.zone, target.zone)
             self.clock.call_after(
                 delay_s, self._deliver_to_target, target, packet
@@ -405,7 +348,7 @@
     ) -> None:
         flow = int.from_bytes(packet.flow[:6])
         req = self._requests[flow // FLOWS_PER_REQUEST]
-        if self._is_partitioned(req.zone, target.zone):
+        if self.routers.is_partitioned(req.zone, target.zone):
             return
         if target.is_unresponsive:
             if target.resets_openings:
@@ -422,29 +365,6 @@
         elif not packet.flags & (FIN | RST):
             self._run_request(target, req, flow)
 
-    def _note_refusal(self, packet: PacketHeader) -> None:
-        """Record a reset by an instance, and whether a target is free."""
-        request_class = self._day.classes[class_number_of(packet.destination)]
-        free_since_s = [
-            target.free_since_s
-            for target in self.targets
-            if target.layout.name == request_class.service
-            and target.is_usable
-            and target.free_since_s is not None
-        ]
-        now_s = self.clock.now_s
-        free_for_s = now_s - min(free_since_s) if free_since_s else None
-        self.refusals.append(Refusal(now_s, request_class.name, free_for_s))
-
-    def _sample_capacity(self) -> None:
-        """Record what the targets can do, for as long as callers send."""
-        now_s = self.clock.now_s
-        if now_s > self._day.length_s:
-            return
-        capacity = sum(each.capacity for each in self.targets)
-        self.capacities.append((now_s, capacity))
-        self.clock.call_after(CAPACITY_SAMPLE_INTERVAL_S, self._sample_capacity)
-
     def _run_request(
         self, target: EmulatedTarget, req: CallerRequest, flow: int
     ) -> None:
--- a/siskinproxy/emulator/experience.py
+++ b/siskinproxy/emulator/experience.py
@@ -112,7 +112,7 @@
     zones = sorted({each.zone for each in outcomes})
     capacities = [
         capacity
-        for at_s, capacity in emulation.capacities
+        for at_s, capacity in emulation.recorder.capacities
         if from_s <= at_s < until_s
     ]
     capacity_s = statistics.fmean(capacities) * (until_s - from_s)
@@ -124,7 +124,9 @@
         and from_s <= each.asked_s + (each.took_s or 0) < until_s
     )
     refusals = [
-        each for each in emulation.refusals if from_s <= each.at_s < until_s
+        each
+        for each in emulation.recorder.refusals
+        if from_s <= each.at_s < until_s
     ]
     free_for_s = [
         each.free_for_s for each in refusals if each.free_for_s is not None
--- a/siskinproxy/emulator/faults.py
+++ b/siskinproxy/emulator/faults.py
@@ -83,9 +83,9 @@
 
 
 def _isolate_zone(emulation: Any, fault: Fault) -> None:
-    emulation.isolated_zones.add(fault.zone)
+    emulation.routers.isolated_zones.add(fault.zone)
     emulation.clock.call_after(
-        fault.for_s, emulation.isolated_zones.discard, fault.zone
+        fault.for_s, emulation.routers.isolated_zones.discard, fault.zone
     )
 
 
--- a/siskinproxy/emulator/instances.py
+++ b/siskinproxy/emulator/instances.py
@@ -8,47 +8,34 @@
 
 from siskinproxy.emulator.clock import VirtualClock
 from siskinproxy.emulator.day import Day
+from siskinproxy.emulator.engines import (
+    EngineFactory,
+    EngineParts,
+    HeaderCodec,
+    NullEventLog,
+    build_configuration,
+    build_engine,
+)
 from siskinproxy.emulator.policies import Policy
 from siskinproxy.emulator.store import decode_target
 from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
 from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
-from siskinproxy.entry.engine import (
-    EngineTiming,
-    EntryEngine,
-    EventSink,
-    Outbox,
-)
 from siskinproxy.entry.evidence import EvidenceReport
 from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
 from siskinproxy.entry.load_view import LoadReport, LoadView
-from siskinproxy.entry.packets import RST, PacketCodec, PacketHeader
-from siskinproxy.entry.records import (
-    Address,
-    OperatorConfiguration,
-    RouteRecord,
-    ServiceRecord,
-    ServiceShare,
-)
+from siskinproxy.entry.packets import PacketHeader
+from siskinproxy.entry.records import Address
 from siskinproxy.entry.responsiveness import CheckOutcome, Responsiveness
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.store import PrefixChanges
-from siskinproxy.entry.target_selection import Placer
 
 __all__ = (
     'DetectionNetwork',
     'EmulatedInstance',
-    'EngineFactory',
-    'EngineParts',
     'ReportMode',
-    'build_configuration',
-    'build_engine',
-    'class_number_of',
-    'destination_of',
 )
 
-_IDLE_TIMEOUT_S: Final = 15.0
-_MS_PER_S: Final = 1000
 #: Checks that an instance starts at the same time.
 _MAX_CHECKS: Final = 16
 #: Flows that an instance with wrong reports claims at each target.
@@ -58,42 +45,6 @@
 _MAX_HELD_BACK: Final = 1000
 
 
-def destination_of(number: int) -> bytes:
-    """Return the virtual address and port of a request class, 6 bytes."""
-    return bytes((198, 18, 0, 1 + number, 1, 187))
-
-
-def class_number_of(destination: bytes) -> int:
-    """Return the number of the request class of a destination."""
-    return destination[3] - 1
-
-
-def build_configuration(day: Day) -> OperatorConfiguration:
-    """Return a configuration with one route for each request class."""
-    return OperatorConfiguration(
-        version=1,
-        routes=tuple(
-            RouteRecord(
-                name=each.name,
-                destination=destination_of(number),
-                shares=(ServiceShare(each.service, 1),),
-                kind=each.kind,
-                deadline_s=each.deadline_ms / _MS_PER_S,
-                objective_s=each.aim_ms / _MS_PER_S,
-                priority=each.priority,
-            )
-            for number, each in enumerate(day.classes)
-        ),
-        services=tuple(
-            ServiceRecord(
-                each.name, '/', 2000, each.cold_s, each.cold_rate_per_s
-            )
-            for each in day.services
-        ),
-        idle_timeout_s=_IDLE_TIMEOUT_S,
-    )
-
-
 class DetectionNetwork(Protocol):
     """Carries checks of targets, and evidence between instances."""
 
@@ -109,31 +60,6 @@
         """Send a report to instances of the zone: these, or all if None."""
 
 
-class _HeaderCodec:
-    """Codec for emulated packets, which are header objects without payload."""
-
-    def decode_header(self, packet: Any) -> PacketHeader:
-        return packet
-
-    def frame_for_target(self, target_id: int, token: int, packet: Any) -> Any:
-        return packet
-
-    def build_reset(self, head: PacketHeader) -> PacketHeader:
-        return PacketHeader(
-            head.flow, head.destination, RST, head.sequence, 0, 0, 0
-        )
-
-    def caller_address(self, head: PacketHeader) -> Address:
-        return Address('caller', int.from_bytes(head.flow[:6]))
-
-
-class _NullEventLog:
-    """Event log that discards all events."""
-
-    def event(self, name: str, /, **pairs: Any) -> None:
-        """Discard an event."""
-
-
 class ReportMode(enum.Enum):
     """What an instance tells the others in its load reports."""
 
@@ -143,62 +69,6 @@
     SILENT = 'silent'
 
 
-class EngineParts(msgspec.Struct, frozen=True):
-    """What an engine is built from.
-
-    Parameters
-    ----------
-    instance : InstanceRecord
-        Instance that runs the engine.
-    codec, directory, routes, placer, responsiveness, outbox, events
-        As `EntryEngine`.
-    loads : LoadView
-        Number of flows in progress at each target.
-    """
-
-    instance: InstanceRecord
-    codec: PacketCodec
-    directory: TargetDirectory
-    routes: RouteTable
-    placer: Placer
-    responsiveness: Responsiveness
-    outbox: Outbox
-    events: EventSink
-    loads: LoadView
-
-
-EngineFactory = Callable[[EngineParts], EntryEngine]
-
-
-def build_engine(
-    parts: EngineParts, timing: EngineTiming | None = None
-) -> EntryEngine:
-    """Build the engine of an instance.
-
-    Parameters
-    ----------
-    parts : EngineParts
-        Parts of the engine.
-    timing : EngineTiming or None
-        Timeouts and intervals; the product's if None.
-
-    Returns
-    -------
-    EntryEngine
-        Engine.
-    """
-    return EntryEngine(
-        parts.codec,
-        parts.directory,
-        parts.routes,
-        parts.placer,
-        parts.responsiveness,
-        parts.outbox,
-        parts.events,
-        timing,
-    )
-
-
 class EmulatedInstance:
     """An instance of the load balancer.
 
@@ -286,7 +156,7 @@
             self.directory,
             routes,
             InstanceDirectory(),
-            _NullEventLog(),
+            NullEventLog(),
         )
         self.on_list(listed)
         self.loads = LoadView()
@@ -304,13 +174,13 @@
         self.engine = self._engine_factory(
             EngineParts(
                 self.record,
-                _HeaderCodec(),
+                HeaderCodec(),
                 self.directory,
                 routes,
                 placer,
                 self.responsiveness,
                 self,
-                _NullEventLog(),
+                NullEventLog(),
                 self.loads,
             )
         )
--- a/siskinproxy/emulator/tests/test_flow_callers.py
+++ b/siskinproxy/emulator/tests/test_flow_callers.py
@@ -6,16 +6,12 @@
 import msgspec
 import pytest
 
+from siskinproxy.emulator.caller_flow import REJECTION_BYTES, REQUEST_BYTES
 from siskinproxy.emulator.clock import VirtualClock
 from siskinproxy.emulator.day import Fault
 from siskinproxy.emulator.emulation import Emulation
 from siskinproxy.emulator.faults import apply_fault
-from siskinproxy.emulator.flow_callers import (
-    REJECTION_BYTES,
-    REQUEST_BYTES,
-    FlowCaller,
-    FlowRequest,
-)
+from siskinproxy.emulator.flow_callers import FlowCaller, FlowRequest
 from siskinproxy.emulator.instances import ReportMode
 from siskinproxy.emulator.load import LoadGenerator
 from siskinproxy.emulator.policies import POLICIES
--- a/siskinproxy/emulator/tests/test_scarcity.py
+++ b/siskinproxy/emulator/tests/test_scarcity.py
@@ -9,8 +9,8 @@
 import pytest
 
 from siskinproxy.emulator.emulation import Emulation
+from siskinproxy.emulator.engines import build_engine
 from siskinproxy.emulator.experience import measure
-from siskinproxy.emulator.instances import build_engine
 from siskinproxy.emulator.policies import POLICIES
 from siskinproxy.emulator.scarcity import (
     FIRST_ROUTE,
