--- a/siskinproxy/emulator/instances.py
+++ b/siskinproxy/emulator/instances.py
@@ -127,6 +127,7 @@
         self._engine_factory = engine_factory
         self._held_back: list[tuple[Callable[..., None], Any]] | None = None
         self._timer_s: float | None = None
+        self._has_timer = True
         self._instances: tuple[InstanceRecord, ...] = ()
 
     def start(
@@ -207,19 +208,34 @@
             self._held_back = []
 
     def resume(self) -> None:
-        """Handle what has arrived during the pause, and go on."""
-        held_back = self._held_back or ()
+        """Handle what has arrived during the pause, and go on.
+
+        As in the product, timeouts are applied after all packets.
+        """
+        if self._held_back is None:
+            return
+        held_back = self._held_back
         self._held_back = None
+        self._has_timer = False
         for action, arguments in held_back:
             action(*arguments)
-        if self.is_up:
-            self._run_timer()
+        self._has_timer = True
+        self._timer_s = None
+        self._run_timer()
+
+    def _hold_back(
+        self,
+        action: Callable[..., None],
+        *arguments: Any,
+        may_drop: bool = False,
+    ) -> bool:
+        """Return whether an event has to wait for the end of a pause.
 
-    def _hold_back(self, action: Callable[..., None], *arguments: Any) -> bool:
-        """Return whether an event has to wait for the end of a pause."""
+        With `may_drop`, it is dropped if too many wait already.
+        """
         if self._held_back is None:
             return False
-        if len(self._held_back) < _MAX_HELD_BACK:
+        if not may_drop or len(self._held_back) < _MAX_HELD_BACK:
             self._held_back.append((action, arguments))
         return True
 
@@ -250,7 +266,7 @@
 
     def on_packet(self, head: PacketHeader) -> None:
         """Handle a packet from the fabric."""
-        if self._hold_back(self.on_packet, head):
+        if self._hold_back(self.on_packet, head, may_drop=True):
             return
         if self.is_up:
             self.engine.on_packet(head, self._clock.now_s)
@@ -277,7 +293,7 @@
 
     def on_report(self, report: LoadReport) -> None:
         """Apply the load report of another instance."""
-        if self._hold_back(self.on_report, report):
+        if self._hold_back(self.on_report, report, may_drop=True):
             return
         if self.is_up:
             now_s = self._clock.now_s
@@ -332,6 +348,8 @@
         return self.responsiveness.next_check_s
 
     def _run_timer(self) -> None:
+        if not self._has_timer:
+            return
         due_s = self.engine.on_timer(self._clock.now_s)
         check_s = self._run_detection()
         if check_s is not None:
@@ -344,10 +362,8 @@
             self._clock.call_at(due_s, self._on_timer, self.incarnation, due_s)
 
     def _on_timer(self, incarnation: int, due_s: float) -> None:
-        if self._hold_back(self._on_timer, incarnation, due_s):
-            return
         if (
-            self.is_up
+            self.is_running
             and incarnation == self.incarnation
             and due_s == self._timer_s
         ):
