--- a/siskinproxy/emulator/instances.py
+++ b/siskinproxy/emulator/instances.py
@@ -1,27 +1,31 @@
 """Load balancer instances: the product's engine run in virtual time."""
 
+import enum
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
+import msgspec
+
 from siskinproxy.emulator.clock import VirtualClock
 from siskinproxy.emulator.day import Day
+from siskinproxy.emulator.engines import (
+    EngineFactory,
+    EngineParts,
+    HeaderCodec,
+    NullEventLog,
+    build_configuration,
+    build_engine,
+)
 from siskinproxy.emulator.policies import Policy
 from siskinproxy.emulator.store import decode_target
 from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
 from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
-from siskinproxy.entry.engine import EntryEngine
 from siskinproxy.entry.evidence import EvidenceReport
 from siskinproxy.entry.instances import InstanceDirectory, InstanceRecord
 from siskinproxy.entry.load_view import LoadReport, LoadView
-from siskinproxy.entry.packets import RST, PacketHeader
-from siskinproxy.entry.records import (
-    Address,
-    OperatorConfiguration,
-    RouteRecord,
-    ServiceRecord,
-    ServiceShare,
-)
+from siskinproxy.entry.packets import PacketHeader
+from siskinproxy.entry.records import Address
 from siskinproxy.entry.responsiveness import CheckOutcome, Responsiveness
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.store import PrefixChanges
@@ -29,45 +33,16 @@
 __all__ = (
     'DetectionNetwork',
     'EmulatedInstance',
-    'build_configuration',
-    'destination_of',
+    'ReportMode',
 )
 
-_IDLE_TIMEOUT_S: Final = 15.0
-_MS_PER_S: Final = 1000
 #: Checks that an instance starts at the same time.
 _MAX_CHECKS: Final = 16
-
-
-def destination_of(number: int) -> bytes:
-    """Return the virtual address and port of a request class, 6 bytes."""
-    return bytes((198, 18, 0, 1 + number, 1, 187))
-
-
-def build_configuration(day: Day) -> OperatorConfiguration:
-    """Return a configuration with one route for each request class."""
-    return OperatorConfiguration(
-        version=1,
-        routes=tuple(
-            RouteRecord(
-                name=each.name,
-                destination=destination_of(number),
-                shares=(ServiceShare(each.service, 1),),
-                kind=each.kind,
-                deadline_s=each.deadline_ms / _MS_PER_S,
-                objective_s=each.aim_ms / _MS_PER_S,
-                priority=1,
-            )
-            for number, each in enumerate(day.classes)
-        ),
-        services=tuple(
-            ServiceRecord(
-                each.name, '/', 2000, each.cold_s, each.cold_rate_per_s
-            )
-            for each in day.services
-        ),
-        idle_timeout_s=_IDLE_TIMEOUT_S,
-    )
+#: Flows that an instance with wrong reports claims at each target.
+_WRONG_FLOWS: Final = 50
+#: Packets and messages that are kept for a paused process; the socket buffers
+#: drop further ones.
+_MAX_HELD_BACK: Final = 1000
 
 
 class DetectionNetwork(Protocol):
@@ -85,29 +60,13 @@
         """Send a report to instances of the zone: these, or all if None."""
 
 
-class _HeaderCodec:
-    """Codec for emulated packets, which are header objects without payload."""
+class ReportMode(enum.Enum):
+    """What an instance tells the others in its load reports."""
 
-    def decode_header(self, packet: Any) -> PacketHeader:
-        return packet
-
-    def frame_for_target(self, target_id: int, token: int, packet: Any) -> Any:
-        return packet
-
-    def build_reset(self, head: PacketHeader) -> PacketHeader:
-        return PacketHeader(
-            head.flow, head.destination, RST, head.sequence, 0, 0, 0
-        )
-
-    def caller_address(self, head: PacketHeader) -> Address:
-        return Address('caller', int.from_bytes(head.flow[:6]))
-
-
-class _NullEventLog:
-    """Event log that discards all events."""
-
-    def event(self, name: str, /, **pairs: Any) -> None:
-        """Discard an event."""
+    TRUE = 'true'
+    #: All targets have far more flows than slots.
+    ALL_FULL = 'all_full'
+    SILENT = 'silent'
 
 
 class EmulatedInstance:
@@ -127,6 +86,8 @@
         Called with this instance, the address of the receiver and a header.
     network : DetectionNetwork
         Carries checks and evidence on targets.
+    engine_factory : callable
+        Builds the engine at each start.
 
     Attributes
     ----------
@@ -134,6 +95,8 @@
         Whether the process runs.
     is_ready : bool
         Whether it answers readiness probes with success.
+    report_mode : ReportMode
+        What it tells the others in its load reports.
     incarnation : int
         Number of starts; timers set by an earlier incarnation are ignored.
     """
@@ -147,11 +110,13 @@
         clock: VirtualClock,
         send: Callable[['EmulatedInstance', Address, PacketHeader], None],
         network: DetectionNetwork,
+        engine_factory: EngineFactory = build_engine,
     ) -> None:
         self.name = name
         self.zone = zone
         self.is_up = False
         self.is_ready = False
+        self.report_mode = ReportMode.TRUE
         self.incarnation = 0
         self.record = InstanceRecord(name, zone, '127.0.0.1', 1)
         self._day = day
@@ -159,7 +124,10 @@
         self._clock = clock
         self._send = send
         self._network = network
+        self._engine_factory = engine_factory
+        self._held_back: list[tuple[Callable[..., None], Any]] | None = None
         self._timer_s: float | None = None
+        self._has_timer = True
         self._instances: tuple[InstanceRecord, ...] = ()
 
     def start(
@@ -189,7 +157,7 @@
             self.directory,
             routes,
             InstanceDirectory(),
-            _NullEventLog(),
+            NullEventLog(),
         )
         self.on_list(listed)
         self.loads = LoadView()
@@ -204,20 +172,72 @@
         placer = self._policy.build_placer(
             self.zone, cold_limit, self.responsiveness, self.loads
         )
-        self.engine = EntryEngine(
-            _HeaderCodec(),
-            self.directory,
-            routes,
-            placer,
-            self.responsiveness,
-            self,
-            _NullEventLog(),
+        self.engine = self._engine_factory(
+            EngineParts(
+                self.record,
+                HeaderCodec(),
+                self.directory,
+                routes,
+                placer,
+                self.responsiveness,
+                self,
+                NullEventLog(),
+                self.loads,
+            )
         )
 
     def stop(self) -> None:
         """End the process at once, without notice to callers or instances."""
         self.is_up = False
         self.is_ready = False
+        self._held_back = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.is_up and self._held_back is None
+
+    @property
+    def answers_probes(self) -> bool:
+        """Whether a readiness probe gets success in time."""
+        return self.is_ready and self._held_back is None
+
+    def pause(self) -> None:
+        """Let the process stand still until `resume`."""
+        if self.is_running:
+            self._held_back = []
+
+    def resume(self) -> None:
+        """Handle what has arrived during the pause, and go on.
+
+        As in the product, timeouts are applied after all packets.
+        """
+        if self._held_back is None:
+            return
+        held_back = self._held_back
+        self._held_back = None
+        self._has_timer = False
+        for action, arguments in held_back:
+            action(*arguments)
+        self._has_timer = True
+        self._timer_s = None
+        self._run_timer()
+
+    def _hold_back(
+        self,
+        action: Callable[..., None],
+        *arguments: Any,
+        may_drop: bool = False,
+    ) -> bool:
+        """Return whether an event has to wait for the end of a pause.
+
+        With `may_drop`, it is dropped if too many wait already.
+        """
+        if self._held_back is None:
+            return False
+        if not may_drop or len(self._held_back) < _MAX_HELD_BACK:
+            self._held_back.append((action, arguments))
+        return True
 
     def send(self, address: Address, datagram: Any) -> None:
         """Send a header; the engine calls it to send a packet."""
@@ -231,6 +251,8 @@
         changes : PrefixChanges
             Answer of the store.
         """
+        if self._hold_back(self.on_list, changes):
+            return
         if self.is_up:
             self._cluster_state.apply_changes(
                 changes, self._clock.now_s, source='store'
@@ -238,28 +260,41 @@
 
     def expire(self) -> None:
         """Do the periodic work on targets that lapsed or are held back."""
-        if self.is_up:
+        if self.is_running:
             self._cluster_state.expire(self._clock.now_s)
             self.directory.expire(self._clock.now_s)
 
     def on_packet(self, head: PacketHeader) -> None:
         """Handle a packet from the fabric."""
+        if self._hold_back(self.on_packet, head, may_drop=True):
+            return
         if self.is_up:
             self.engine.on_packet(head, self._clock.now_s)
             self._run_timer()
 
-    def report(self) -> LoadReport:
-        """Return the load report for the other instances."""
-        return LoadReport(
+    def report(self) -> LoadReport | None:
+        """Return the load report for the other instances, None for none."""
+        if self.report_mode is ReportMode.SILENT:
+            return None
+        report = LoadReport(
             self.name,
             self.zone,
             not self.is_ready,
             dict(self.loads.own_flows),
             self.engine.take_ended_hashes(),
         )
+        if self.report_mode is ReportMode.ALL_FULL:
+            flows = {
+                target.token: _WRONG_FLOWS
+                for target in self.directory.targets()
+            }
+            return msgspec.structs.replace(report, flows=flows)
+        return report
 
     def on_report(self, report: LoadReport) -> None:
         """Apply the load report of another instance."""
+        if self._hold_back(self.on_report, report, may_drop=True):
+            return
         if self.is_up:
             now_s = self._clock.now_s
             self.loads.apply_report(report, now_s)
@@ -270,6 +305,8 @@
 
     def on_evidence(self, report: EvidenceReport) -> None:
         """Apply the evidence of another instance."""
+        if self._hold_back(self.on_evidence, report):
+            return
         if self.is_up:
             self.responsiveness.apply_report(report, self._clock.now_s)
             self._run_timer()
@@ -282,6 +319,10 @@
         sent_s: float,
     ) -> None:
         """Apply the outcome of a check that this incarnation has started."""
+        if self._hold_back(
+            self.on_checked, incarnation, target, outcome, sent_s
+        ):
+            return
         if self.is_up and incarnation == self.incarnation:
             self.responsiveness.note_check(
                 target, outcome, sent_s, self._clock.now_s
@@ -307,6 +348,8 @@
         return self.responsiveness.next_check_s
 
     def _run_timer(self) -> None:
+        if not self._has_timer:
+            return
         due_s = self.engine.on_timer(self._clock.now_s)
         check_s = self._run_detection()
         if check_s is not None:
@@ -320,7 +363,7 @@
 
     def _on_timer(self, incarnation: int, due_s: float) -> None:
         if (
-            self.is_up
+            self.is_running
             and incarnation == self.incarnation
             and due_s == self._timer_s
         ):
