Split the failure detection: state of a target and order of checks

Change: limits, state of one target, order of checking and the building of reports are in responsiveness_state.py; state_of is public. A test that used the private ranking uses the order of checking. No change of behaviour.

--- a/siskinproxy/entry/responsiveness.py
+++ b/siskinproxy/entry/responsiveness.py
@@ -22,19 +22,26 @@
 the number of instances.
 """
 
-import enum
-import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Final
 
-import msgspec
-
 from siskinproxy.entry.directory import (
     KnownTarget,
     Presence,
     TargetDirectory,
 )
-from siskinproxy.entry.evidence import Evidence, EvidenceReport, Finding
+from siskinproxy.entry.evidence import EvidenceReport, Finding
+from siskinproxy.entry.responsiveness_state import (
+    MS_PER_S,
+    OWN_CHECK,
+    CheckingOrder,
+    CheckOutcome,
+    ResponsivenessLimits,
+    SuspicionChange,
+    TargetState,
+    build_report,
+    list_changes,
+)
 
 __all__ = (
     'CheckOutcome',
@@ -43,146 +50,11 @@
     'SuspicionChange',
 )
 
-#: Sender of evidence that is not known by name: the own checks. Together with
-#: the own openings, they are two witnesses for this instance only.
-_OWN_CHECK: Final = 'own check'
-_MS_PER_S: Final = 1000
 #: Number of instances, in the order of their hashes, that check a target. The
 #: others check it only if they have heard nothing of it for a long time.
 _CHECKING_RANKS: Final = 3
 
 
-class CheckOutcome(enum.Enum):
-    """Outcome of a check of a target over TCP."""
-
-    #: The target has sent a response, with any status.
-    ANSWERED = 'answered'
-    #: The target's host has refused or reset the connection.
-    REFUSED = 'refused'
-    #: No response has arrived in time.
-    TIMED_OUT = 'timed_out'
-
-
-class ResponsivenessLimits(msgspec.Struct, frozen=True):
-    """Thresholds of the failure detection.
-
-    Parameters
-    ----------
-    unanswered : int
-        Consecutive unanswered openings of this instance, or instances with
-        evidence against a target, from which on it is suspected. A single one
-        may be due to a lost datagram or to a fault of the instance.
-    suspected_zone_targets : int
-        Suspected targets of a zone from which on the other targets of the zone
-        are suspected or checked as well, provided that none of them has
-        answered since the first was suspected.
-    probe_interval_s : float
-        Time between two openings that probe a suspected target if there are no
-        checks, in seconds.
-    doubt_s : float
-        Time for which a target with one witness gets no new flows if there are
-        others, in seconds.
-    evidence_age_s : float
-        Age from which on evidence against a target no longer counts, in
-        seconds.
-    check_interval_s, max_check_interval_s : float
-        Shortest and longest time between two checks of a suspected target, in
-        seconds; it doubles with each failed check.
-    rank_delay_s : float
-        Time for which an instance waits for the result of each instance before
-        it in the order of checking, in seconds.
-    relapse_s : float
-        Time after the end of a suspicion in which new evidence raises no
-        doubt, and after which the interval of the checks starts anew, in
-        seconds.
-    unheard_s : float
-        Time without any evidence from which on an instance checks a suspected
-        target itself, in seconds.
-    """
-
-    unanswered: int = 2
-    suspected_zone_targets: int = 2
-    probe_interval_s: float = 0.7
-    doubt_s: float = 0.5
-    evidence_age_s: float = 2.0
-    check_interval_s: float = 0.7
-    max_check_interval_s: float = 2.8
-    rank_delay_s: float = 0.15
-    relapse_s: float = 5.0
-    unheard_s: float = 10.0
-
-
-class SuspicionChange(msgspec.Struct, frozen=True):
-    """A change that evidence from others or a check has caused.
-
-    Parameters
-    ----------
-    target : str
-        Name of the target.
-    is_suspected : bool
-        Whether the target is suspected from now on; else it is no longer.
-    witnesses : tuple of str
-        Instances with evidence against the target, with ``own check`` for a
-        check of this one; the source of the answer if it is trusted again.
-    """
-
-    target: str
-    is_suspected: bool
-    witnesses: tuple[str, ...]
-
-
-class _TargetState:
-    """Answers and suspicion of one target; a time of -1 means never.
-
-    `unanswered` is the number of consecutive unanswered openings of this
-    instance, `witnesses` the time at which each witness sent what was not
-    answered, `failed_checks` the number of failed checks in a row.
-    `answered_s` is the time of the last answer of any kind, `served_s` that of
-    the last one to an opening of this instance.
-    """
-
-    __slots__ = (
-        'answered_s',
-        'cleared_s',
-        'doubted_until_s',
-        'failed_checks',
-        'is_refused',
-        'next_check_s',
-        'next_probe_s',
-        'refuted_s',
-        'served_s',
-        'started_unix_ms',
-        'suspected_s',
-        'target',
-        'unanswered',
-        'witnesses',
-    )
-
-    def __init__(self, target: KnownTarget) -> None:
-        self.target = target
-        self.started_unix_ms = target.record.started_unix_ms
-        self.unanswered = 0
-        self.answered_s: float = -1
-        self.served_s: float = -1
-        self.suspected_s: float = -1
-        self.next_probe_s: float = 0
-        self.next_check_s: float | None = None
-        self.doubted_until_s: float = -1
-        self.cleared_s: float = -1
-        self.refuted_s: float = -1
-        self.failed_checks = 0
-        self.is_refused = False
-        self.witnesses: dict[str, float] = {}
-
-    @property
-    def is_suspected(self) -> bool:
-        return self.suspected_s >= 0
-
-    @property
-    def zone(self) -> str:
-        return self.target.record.zone
-
-
 class Responsiveness:
     """Set of the targets that are suspected of not answering.
 
@@ -210,8 +82,8 @@
         self._name = name
         self._zone = zone
         self._directory = directory
-        self._records: dict[str, _TargetState] = {}
-        self._members: tuple[str, ...] = (name,)
+        self._records: dict[str, TargetState] = {}
+        self._order = CheckingOrder(name)
         self._outgoing: dict[tuple[str, Finding], float] = {}
         self._refreshed: dict[str, float] = {}
         self._due: set[str] = set()
@@ -226,16 +98,16 @@
 
     def set_members(self, names: Iterable[str]) -> None:
         """Set the names of the instances of this zone, this one included."""
-        self._members = tuple(sorted({*names, self._name}))
+        self._order.set_members(names)
 
     def is_suspected(self, target: KnownTarget) -> bool:
         """Return whether the target is suspected of not answering."""
-        record = self._find(target)
+        record = self.state_of(target)
         return record is not None and record.is_suspected
 
     def is_doubted(self, target: KnownTarget, now_s: float) -> bool:
         """Return whether there is fresh evidence of one witness only."""
-        record = self._find(target)
+        record = self.state_of(target)
         return record is not None and now_s < record.doubted_until_s
 
     def has_answered_since(self, target: KnownTarget, sent_s: float) -> bool:
@@ -253,7 +125,7 @@
         bool
             Whether an answer was seen at or after `sent_s`.
         """
-        record = self._find(target)
+        record = self.state_of(target)
         return record is not None and record.served_s >= sent_s
 
     def may_probe(self, target: KnownTarget, now_s: float) -> bool:
@@ -262,7 +134,7 @@
         With checks, this is the last resort for a target whose checks get no
         answer for long. If its host refuses them, it would reset the caller.
         """
-        record = self._find(target)
+        record = self.state_of(target)
         return (
             record is not None
             and now_s >= record.next_probe_s
@@ -271,7 +143,7 @@
 
     def note_probe(self, target: KnownTarget, now_s: float) -> None:
         """Record that an opening is sent to a suspected target as a probe."""
-        record = self._find(target)
+        record = self.state_of(target)
         if record is not None:
             record.next_probe_s = now_s + self._probe_interval_s
 
@@ -287,7 +159,7 @@
         record.served_s = now_s
         if self._name and (record.is_suspected or record.witnesses):
             self._outgoing[target.name, Finding.SERVED] = now_s
-        return self._clear(record, now_s, now_s)
+        return record.clear(now_s, now_s)
 
     def note_unanswered(
         self, target: KnownTarget, sent_s: float, now_s: float
@@ -347,11 +219,13 @@
         """
         record = self._record(target)
         if outcome is CheckOutcome.ANSWERED:
-            if not self._has_relapsed(record, now_s):
+            if not record.has_relapsed(now_s, self._limits.relapse_s):
                 self._outgoing[target.name, Finding.CHECKED] = now_s
             was_suspected = self._note_checked(record, now_s, now_s)
-            return self._changes(
-                (target.name,) if was_suspected else (), is_suspected=False
+            return list_changes(
+                self._records,
+                (target.name,) if was_suspected else (),
+                is_suspected=False,
             )
         record.is_refused = outcome is CheckOutcome.REFUSED
         record.failed_checks += 1
@@ -362,8 +236,10 @@
             self._schedule_repeat(record, now_s)
             return ()
         self._outgoing[target.name, Finding.SILENT] = sent_s
-        self._add_witness(record, _OWN_CHECK, sent_s, now_s)
-        return self._changes(self._judge(record, now_s), is_suspected=True)
+        self._add_witness(record, OWN_CHECK, sent_s, now_s)
+        return list_changes(
+            self._records, self._judge(record, now_s), is_suspected=True
+        )
 
     def apply_report(
         self, report: EvidenceReport, now_s: float
@@ -393,19 +269,21 @@
             )
             if target is None:
                 continue
-            found_s = now_s - max(evidence.age_ms, 0) / _MS_PER_S
+            found_s = now_s - max(evidence.age_ms, 0) / MS_PER_S
             record = self._record(target)
             if evidence.finding is Finding.SILENT:
-                changes += self._changes(
+                changes += list_changes(
+                    self._records,
                     self._hear_silent(record, report.instance, found_s, now_s),
                     is_suspected=True,
                 )
                 continue
             if evidence.finding is Finding.SERVED:
-                was_suspected = self._clear(record, found_s, now_s)
+                was_suspected = record.clear(found_s, now_s)
             else:
                 was_suspected = self._note_checked(record, found_s, now_s)
-            changes += self._changes(
+            changes += list_changes(
+                self._records,
                 (target.name,) if was_suspected else (),
                 is_suspected=False,
                 source=report.instance,
@@ -432,9 +310,9 @@
             (name, Finding.SILENT): found_s
             for name, found_s in self._refreshed.items()
         }
-        reports = (
-            self._report(self._outgoing, now_s),
-            self._report(repeated, now_s),
+        reports = tuple(
+            build_report(self._name, self._zone, findings, self._records, now_s)
+            for findings in (self._outgoing, repeated)
         )
         self._outgoing.clear()
         self._refreshed.clear()
@@ -444,7 +322,7 @@
         """Return the instances that check these targets, without this one."""
         found: set[str] = set()
         for target in targets:
-            found.update(self._ranking(target.name)[:_CHECKING_RANKS])
+            found.update(self._order.first(target.name, _CHECKING_RANKS))
         return frozenset(found - {self._name})
 
     def repeated_targets(self) -> tuple[KnownTarget, ...]:
@@ -528,11 +406,11 @@
         return self._limits.probe_interval_s
 
     def _hear_silent(
-        self, record: _TargetState, reporter: str, sent_s: float, now_s: float
+        self, record: TargetState, reporter: str, sent_s: float, now_s: float
     ) -> tuple[str, ...]:
         limits = self._limits
         if record.answered_s > sent_s:
-            is_checker = self._rank(record.target.name) < _CHECKING_RANKS
+            is_checker = self._order.rank(record.target.name) < _CHECKING_RANKS
             if is_checker and now_s - record.refuted_s > limits.doubt_s:
                 record.refuted_s = now_s
                 name = record.target.name
@@ -550,72 +428,63 @@
         return self._judge(record, now_s)
 
     def _add_witness(
-        self, record: _TargetState, witness: str, sent_s: float, now_s: float
+        self, record: TargetState, witness: str, sent_s: float, now_s: float
     ) -> None:
         is_first = not record.witnesses
         record.witnesses[witness] = sent_s
         if not is_first and record.next_check_s is not None:
             return
-        if not self._has_relapsed(record, now_s):
+        if not record.has_relapsed(now_s, self._limits.relapse_s):
             record.doubted_until_s = now_s + self._limits.doubt_s
         self._schedule_first(record, now_s)
 
-    def _judge(self, record: _TargetState, now_s: float) -> tuple[str, ...]:
+    def _judge(self, record: TargetState, now_s: float) -> tuple[str, ...]:
         """Suspect a target if the evidence suffices; return new suspects."""
         if record.is_suspected:
             return ()
         limits = self._limits
         oldest_s = max(now_s - limits.evidence_age_s, record.served_s)
-        record.witnesses = {
-            witness: sent_s
-            for witness, sent_s in record.witnesses.items()
-            if sent_s >= oldest_s
-        }
+        record.drop_witnesses(oldest_s)
         if max(record.unanswered, len(record.witnesses)) < limits.unanswered:
             return ()
         self._suspect(record, now_s)
         return (record.target.name, *self._suspect_zone(record.zone, now_s))
 
-    def _suspect(self, record: _TargetState, now_s: float) -> None:
-        has_relapsed = self._has_relapsed(record, now_s)
+    def _suspect(self, record: TargetState, now_s: float) -> None:
+        has_relapsed = record.has_relapsed(now_s, self._limits.relapse_s)
         if not has_relapsed:
             record.failed_checks = min(record.failed_checks, 1)
         record.suspected_s = now_s
         record.doubted_until_s = -1
         record.next_probe_s = now_s + self._probe_interval_s
-        if has_relapsed or _OWN_CHECK in record.witnesses:
+        if has_relapsed or OWN_CHECK in record.witnesses:
             self._schedule_repeat(record, now_s)
         elif record.next_check_s is None:
             self._schedule_first(record, now_s)
 
-    def _has_relapsed(self, record: _TargetState, now_s: float) -> bool:
-        """Return whether a suspicion of the target has ended recently."""
-        since_s = now_s - record.cleared_s
-        return record.cleared_s >= 0 and since_s < self._limits.relapse_s
-
-    def _schedule_first(self, record: _TargetState, now_s: float) -> None:
+    def _schedule_first(self, record: TargetState, now_s: float) -> None:
         """Schedule the check that follows on the first evidence."""
-        rank = self._rank(record.target.name)
+        rank = self._order.rank(record.target.name)
         if rank < _CHECKING_RANKS:
             self._schedule(record, now_s + rank * self._limits.rank_delay_s)
         elif record.is_suspected:
             self._schedule_repeat(record, now_s)
 
-    def _schedule_repeat(self, record: _TargetState, now_s: float) -> None:
+    def _schedule_repeat(self, record: TargetState, now_s: float) -> None:
         """Schedule the next check of a suspected target after evidence."""
         limits = self._limits
         doublings = max(record.failed_checks - 1, 0)
         interval_s = min(
             limits.check_interval_s * 2**doublings, limits.max_check_interval_s
         )
-        rank = self._rank(record.target.name)
+        rank = self._order.rank(record.target.name)
         if rank < _CHECKING_RANKS:
             delay_s = interval_s + rank * limits.check_interval_s
         else:
-            delay_s = limits.unheard_s * (1 + rank / len(self._members))
+            delay_s = limits.unheard_s * (1 + rank / len(self._order))
         self._schedule(record, now_s + delay_s)
 
-    def _schedule(self, record: _TargetState, due_s: float) -> None:
+    def _schedule(self, record: TargetState, due_s: float) -> None:
         if self._name:
             record.next_check_s = due_s
             self._due.add(record.target.name)
@@ -678,103 +547,39 @@
                 target.record.zone == zone
                 and target.presence is not Presence.GONE
             )
-            if is_relevant and self._rank(target.name) < limits.unanswered:
+            if (
+                is_relevant
+                and self._order.rank(target.name) < limits.unanswered
+            ):
                 record = self._record(target)
                 if not record.is_suspected:
                     self._schedule(record, now_s)
 
     def _note_checked(
-        self, record: _TargetState, answered_s: float, now_s: float
+        self, record: TargetState, answered_s: float, now_s: float
     ) -> bool:
         """Apply an answered check; return whether it ends a suspicion.
 
         Evidence of openings outlasts the answer to a check, unless the target
         is suspected: a target may answer checks but no openings.
         """
-        if record.is_suspected and not self._has_relapsed(record, now_s):
-            return self._clear(record, answered_s, now_s)
+        if record.is_suspected and not record.has_relapsed(
+            now_s, self._limits.relapse_s
+        ):
+            return record.clear(answered_s, now_s)
         record.answered_s = max(record.answered_s, answered_s)
         record.is_refused = False
         if not record.is_suspected:
             record.doubted_until_s = -1
             record.next_check_s = None
-            record.witnesses.pop(_OWN_CHECK, None)
+            record.witnesses.pop(OWN_CHECK, None)
             return False
-        if self._rank(record.target.name) < _CHECKING_RANKS:
+        if self._order.rank(record.target.name) < _CHECKING_RANKS:
             record.next_probe_s = min(record.next_probe_s, now_s)
         self._schedule_repeat(record, now_s)
         return False
 
-    def _clear(
-        self, record: _TargetState, answered_s: float, now_s: float
-    ) -> bool:
-        """Apply an answer; return whether the target was suspected."""
-        if answered_s < record.answered_s:
-            return False
-        record.answered_s = answered_s
-        record.witnesses = {
-            witness: sent_s
-            for witness, sent_s in record.witnesses.items()
-            if sent_s > answered_s
-        }
-        if answered_s < record.suspected_s or record.witnesses:
-            return False
-        was_suspected = record.is_suspected
-        record.unanswered = 0
-        record.is_refused = False
-        record.suspected_s = -1
-        record.doubted_until_s = -1
-        record.next_check_s = None
-        if was_suspected:
-            record.cleared_s = now_s
-        return was_suspected
-
-    def _changes(
-        self, names: Iterable[str], *, is_suspected: bool, source: str = ''
-    ) -> tuple[SuspicionChange, ...]:
-        return tuple(
-            SuspicionChange(
-                name,
-                is_suspected,
-                tuple(sorted(self._records[name].witnesses))
-                if is_suspected
-                else (source or _OWN_CHECK,),
-            )
-            for name in names
-        )
-
-    def _report(
-        self, findings: Mapping[tuple[str, Finding], float], now_s: float
-    ) -> EvidenceReport | None:
-        """Return a report of findings with their times, None if empty."""
-        evidence = []
-        for key, found_s in findings.items():
-            record = self._records.get(key[0])
-            if record is not None:
-                age_ms = max(round(_MS_PER_S * (now_s - found_s)), 0)
-                token, started = record.target.token, record.started_unix_ms
-                evidence.append(Evidence(token, started, key[1], age_ms))
-        if not evidence:
-            return None
-        return EvidenceReport(self._name, self._zone, tuple(evidence))
-
-    def _rank(self, target: str) -> int:
-        """Return the place of this instance in the order of checking."""
-        own = _hash_of(self._name, target)
-        return sum(
-            (_hash_of(member, target), member) > (own, self._name)
-            for member in self._members
-        )
-
-    def _ranking(self, target: str) -> list[str]:
-        """Return the instances of the zone in the order of checking."""
-        return sorted(
-            self._members,
-            key=lambda member: (_hash_of(member, target), member),
-            reverse=True,
-        )
-
-    def _find(self, target: KnownTarget) -> _TargetState | None:
+    def state_of(self, target: KnownTarget) -> TargetState | None:
         """Return the state of a target, None if it has restarted since."""
         record = self._records.get(target.name)
         if record is None:
@@ -782,14 +587,10 @@
         is_same = record.started_unix_ms == target.record.started_unix_ms
         return record if is_same and record.target is target else None
 
-    def _record(self, target: KnownTarget) -> _TargetState:
-        record = self._find(target)
+    def _record(self, target: KnownTarget) -> TargetState:
+        record = self.state_of(target)
         if record is None:
-            record = _TargetState(target)
+            record = TargetState(target)
             self._records[target.name] = record
             self._due.discard(target.name)
         return record
-
-
-def _hash_of(member: str, target: str) -> int:
-    return zlib.crc32(f'{target}/{member}'.encode())
--- a/siskinproxy/entry/tests/test_evidence.py
+++ b/siskinproxy/entry/tests/test_evidence.py
@@ -75,7 +75,7 @@
 
     def checkers_in_order(self, found):
         member = self.members['i-1']
-        return member._ranking(found.name)
+        return member._order.first(found.name, len(member._order))
 
 
 def silent_report(reporter, found, zone='a', age_ms=0, finding=Finding.SILENT):
