Reset open flows of targets that have ended

Cause: callers of open flows wait until their deadline if the machine of their target is gone, also where they could repeat the request at once. The directory reports its changes. Ruled out: the number in the opening packet for a reset, since callers accept only one near what they acknowledged last; removal of an entry alone; any reset for a draining target that was removed, however long ago.

--- a/siskinproxy/entry/directory.py
+++ b/siskinproxy/entry/directory.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import msgspec
@@ -13,6 +13,7 @@
 from siskinproxy.entry.records import TargetRecord
 
 __all__ = (
+    'ChangeListener',
     'DirectoryTiming',
     'KnownTarget',
     'Presence',
@@ -123,6 +124,11 @@
 _WARMUP_MARGIN_S: Final = 0.1
 
 
+ChangeListener = Callable[
+    [KnownTarget, TargetChange, TargetRecord, float], None
+]
+
+
 class TargetDirectory:
     """Known targets, and the zones that are out of service.
 
@@ -135,10 +141,14 @@
     ----------
     timing : DirectoryTiming
         Timeouts; may be replaced at any time.
+    on_change : callable or None
+        Called after each change with the target, the kind of change, its
+        earlier record and the current time in seconds.
     """
 
     def __init__(self, timing: DirectoryTiming | None = None) -> None:
         self.timing = timing or DirectoryTiming()
+        self.on_change: ChangeListener | None = None
         self._by_name: dict[str, KnownTarget] = {}
         self._by_token: dict[int, list[KnownTarget]] = {}
         self._by_service: dict[str, tuple[KnownTarget, ...]] = {}
@@ -232,16 +242,17 @@
             self._by_name[record.name] = known
             self._by_token.setdefault(known.token, []).append(known)
             self._set_cold(known, now_s)
-            return TargetChange.ADDED
+            return self._report(known, TargetChange.ADDED, record, now_s)
         earlier = known.record
         known.record = record
         known.presence = Presence.LISTED
         self._set_cold(known, now_s)
+        change = TargetChange.UPDATED
         if record.started_unix_ms != earlier.started_unix_ms:
-            return TargetChange.RESTARTED
-        if record.is_draining and not earlier.is_draining:
-            return TargetChange.DRAINING
-        return TargetChange.UPDATED
+            change = TargetChange.RESTARTED
+        elif record.is_draining and not earlier.is_draining:
+            change = TargetChange.DRAINING
+        return self._report(known, change, earlier, now_s)
 
     def withdraw(
         self, name: str, now_s: float, *, may_return: bool
@@ -271,9 +282,9 @@
         known.absent_since_s = now_s
         if may_return and not known.record.is_draining:
             known.presence = Presence.LAPSED
-            return TargetChange.LAPSED
+            return self._report(known, TargetChange.LAPSED, known.record, now_s)
         known.presence = Presence.GONE
-        return TargetChange.GONE
+        return self._report(known, TargetChange.GONE, known.record, now_s)
 
     def take_zone_out(self, zone: str, now_s: float) -> None:
         """Exclude the targets of a zone from new flows."""
@@ -317,11 +328,25 @@
                     target.presence = Presence.GONE
                     self._by_service.clear()
                     expired.append(target)
+                    self._report(
+                        target, TargetChange.GONE, target.record, now_s
+                    )
             elif target.presence is Presence.GONE:
                 if absent_s > self.timing.flow_life_s:
                     self._delete(name, target)
         return expired
 
+    def _report(
+        self,
+        target: KnownTarget,
+        change: TargetChange,
+        earlier: TargetRecord,
+        now_s: float,
+    ) -> TargetChange:
+        if self.on_change is not None:
+            self.on_change(target, change, earlier, now_s)
+        return change
+
     def _delete(self, name: str, target: KnownTarget) -> None:
         del self._by_name[name]
         same_token = self._by_token[target.token]
--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -12,11 +12,14 @@
 import zlib
 from collections import Counter, deque
 from collections.abc import Iterable
-from typing import Any, Final, Protocol
+from typing import Final
 
 import msgspec
 
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
+from siskinproxy.entry.ended_evidence import EndedEvidence
+from siskinproxy.entry.ended_flows import EndedFlows
+from siskinproxy.entry.flow_reports import EventSink, FlowReports, Outbox
 from siskinproxy.entry.flows import FlowTable, OpenedFlow
 from siskinproxy.entry.metrics import Histogram
 from siskinproxy.entry.packets import (
@@ -26,7 +29,7 @@
     PacketCodec,
     PacketHeader,
 )
-from siskinproxy.entry.records import NO_TOKEN, Address
+from siskinproxy.entry.records import NO_TOKEN
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import ActiveRoute, RouteTable
 from siskinproxy.entry.target_selection import (
@@ -40,20 +43,6 @@
 __all__ = ('EngineTiming', 'EntryEngine', 'EventSink', 'Outbox')
 
 
-class Outbox(Protocol):
-    """Sender of the engine's datagrams."""
-
-    def send(self, address: Address, datagram: bytes) -> None:
-        """Send a datagram; one that can't be sent is dropped without error."""
-
-
-class EventSink(Protocol):
-    """Log of the engine's decisions."""
-
-    def event(self, name: str, /, **pairs: Any) -> None:
-        """Log a decision under a name, with its key-value pairs."""
-
-
 class EngineTiming(msgspec.Struct, frozen=True):
     """Timeouts and intervals of the engine.
 
@@ -134,6 +123,8 @@
         Log of decisions.
     timing : EngineTiming
         Timeouts and intervals.
+    ended : EndedEvidence or None
+        Evidence on ended targets; None if their flows are not reset.
 
     Attributes
     ----------
@@ -160,6 +151,7 @@
         outbox: Outbox,
         events: EventSink,
         timing: EngineTiming | None = None,
+        ended: EndedEvidence | None = None,
     ) -> None:
         self.counters: Counter[str] = Counter()
         self.flows = FlowTable()
@@ -167,6 +159,10 @@
         self._directory = directory
         self._routes = routes
         self._placer = placer
+        self._reports = FlowReports(self.counters, events)
+        self._ended = ended and EndedFlows(
+            ended, codec, directory, routes, outbox, self._reports
+        )
         self._responsiveness = responsiveness
         self._outbox = outbox
         self._events = events
@@ -231,10 +227,14 @@
         for expired in self.flows.counting_expired(now_s):
             self._uncount(expired)
             if not expired.is_answered:
-                self._report_unanswered(expired, now_s)
+                self._reports.unanswered(expired, now_s)
         self.flows.remove_expired(now_s)
         if self._was_paused(now_s):
             self._restart_answer_timeouts(now_s)
+        if self._ended is not None:
+            self._ended.run(
+                self.flows, now_s, self._uncount, self._move_opening
+            )
         due_s = self._check_answer_deadlines(now_s)
         if not self.waiting:
             return due_s
@@ -324,13 +324,8 @@
             self._refuse(head, placement.reason.value)
         elif head.flow not in self.waiting:
             self.waiting.add(opening)
-            self.counters['waited'] += 1
-            self._events.event(
-                'flow_waits',
-                flow=head.caller,
-                route=route.record.name,
-                reason=placement.reason.value,
-                waiting=len(self.waiting),
+            self._reports.waits(
+                head, route, placement.reason.value, len(self.waiting)
             )
 
     def _open(
@@ -349,16 +344,8 @@
         self.flows.count_until(flow, now_s + self._counting_timeout_s)
         self._placer.note_started(placement.target)
         self._send_opening(flow, placement, now_s)
-        self.counters['opened'] += 1
-        self._events.event(
-            'flow_opened',
-            flow=opening.head.caller,
-            route=record.name,
-            target=placement.target.name,
-            reason=placement.reason.value,
-            copy=opening.head.copy,
-            waited_ms=round(1000 * (now_s - opening.arrived_s)),
-            config=self._routes.version,
+        self._reports.opened(
+            flow, placement, now_s - opening.arrived_s, self._routes.version
         )
 
     def _on_retransmission(
@@ -402,16 +389,7 @@
         self._uncount(flow)
         flow.move_to(placement.target, now_s)
         self._count(flow, now_s + self._counting_timeout_s)
-        self._events.event(
-            'opening_moved',
-            flow=flow.head.caller,
-            route=flow.route.record.name,
-            earlier=target.name,
-            target=placement.target.name,
-            reason=placement.reason.value,
-            waited_ms=round(1000 * (now_s - flow.opened_s)),
-        )
-        self.counters['moved'] += 1
+        self._reports.moved(flow, target, placement, now_s)
         self._send_opening(flow, placement, now_s)
 
     def _send_opening(
@@ -464,6 +442,10 @@
         target = self._target_of(head, flow, now_s)
         if target is None:
             return
+        if self._ended and self._ended.on_packet(head, flow, target, now_s):
+            if flow is not None:
+                self._uncount(flow)
+            return
         out_for_s = self._directory.zone_out_for_s(target.record.zone, now_s)
         if out_for_s > self.timing.zone_out_s:
             self.counters['dropped_zone_out'] += 1
@@ -535,37 +517,12 @@
             duration_s = now_s - flow.sent_s
             self.flow_times.observe(duration_s)
             if duration_s > flow.route.record.objective_s:
-                self._report_slow(flow, duration_s, now_s)
+                self._reports.slow(flow, duration_s, now_s)
             difference_s = duration_s - self._mean_duration_s
             self._mean_duration_s += _DURATION_WEIGHT * difference_s
         if self.waiting:
             self.release(now_s)
 
-    def _report_slow(
-        self, flow: OpenedFlow, duration_s: float, now_s: float
-    ) -> None:
-        self.counters['slow'] += 1
-        self._events.event(
-            'flow_slow',
-            flow=flow.head.caller,
-            route=flow.route.record.name,
-            target=flow.target.name,
-            took_ms=round(1000 * duration_s),
-            objective_ms=round(1000 * flow.route.record.objective_s),
-            since_first_ms=round(1000 * (now_s - flow.opened_s)),
-        )
-
-    def _report_unanswered(self, flow: OpenedFlow, now_s: float) -> None:
-        self.counters['never_answered'] += 1
-        self._events.event(
-            'opening_unanswered',
-            flow=flow.head.caller,
-            route=flow.route.record.name,
-            target=flow.target.name,
-            tried=len(flow.tried) + 1,
-            since_first_ms=round(1000 * (now_s - flow.opened_s)),
-        )
-
     def take_ended_hashes(self) -> tuple[int, ...]:
         """Return and clear the hashes of flows to release at other instances.
 
@@ -650,6 +607,8 @@
         openings time out.
         """
         self.counters['pauses'] += 1
+        if self._ended is not None:
+            self._ended.note_paused(now_s)
         timeout_s = self.answer_timeout_s
         self._answer_deadlines = deque(
             (now_s + timeout_s, flow) for _, flow in self._answer_deadlines
--- a/siskinproxy/entry/flows.py
+++ b/siskinproxy/entry/flows.py
@@ -64,15 +64,28 @@
         closing packet is not seen, in seconds.
     expires_s : float
         Time at which the flow is removed from the table, in seconds.
+    latest : PacketHeader or None
+        Newest header of the caller on the open flow; None while it is not
+        answered, or if resets of ended targets are off.
+    heard_s, asked_s : float
+        Time at which the caller last acknowledged new data of the target, and
+        time at which it last sent new data, in seconds; -1 if never.
+    is_reset : bool
+        Whether this instance has reset the flow, or has failed to move its
+        opening, after the end of its target.
     """
 
     __slots__ = (
+        'asked_s',
         'counted_until_s',
         'expires_s',
         'head',
+        'heard_s',
         'is_answered',
         'is_counted',
+        'is_reset',
         'key',
+        'latest',
         'opened_s',
         'packet',
         'route',
@@ -103,6 +116,10 @@
         self.is_counted = True
         self.counted_until_s: float = 0
         self.expires_s: float = 0
+        self.latest: PacketHeader | None = None
+        self.heard_s: float = -1
+        self.asked_s: float = -1
+        self.is_reset = False
 
     def move_to(self, target: KnownTarget, now_s: float) -> None:
         """Record that the opening packet is sent to another target."""
@@ -131,6 +148,10 @@
         """Return the number of flows."""
         return len(self._flows)
 
+    def __iter__(self) -> Iterator[OpenedFlow]:
+        """Iterate over the flows, the oldest first."""
+        return iter(self._flows.values())
+
     def get(self, key: bytes) -> OpenedFlow | None:
         """Return a flow, None if it is not in the table."""
         return self._flows.get(key)
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -20,6 +20,7 @@
 from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
 from siskinproxy.entry.cold_limit import ColdLimit
 from siskinproxy.entry.directory import TargetDirectory
+from siskinproxy.entry.ended_evidence import EndedEvidence
 from siskinproxy.entry.engine import EntryEngine
 from siskinproxy.entry.event_log import BoundedLog
 from siskinproxy.entry.failure_detector import FailureDetector
@@ -267,6 +268,10 @@
             self.loads,
             random.Random(),
         )
+        ended = None
+        if self._cfg.load.reset_ended:
+            ended = EndedEvidence(self.responsiveness, time.time)
+            self.directory.on_change = ended.on_change
         return EntryEngine(
             codec,
             self.directory,
@@ -275,6 +280,7 @@
             self.responsiveness,
             self.socket,
             self.log,
+            ended=ended,
         )
 
     def _apply_bounds(self) -> None:
@@ -461,7 +467,7 @@
     old: EntrySettings, new: EntrySettings
 ) -> list[str]:
     """Return the changed sections that apply only after a restart."""
-    sections = ('instance', 'listeners', 'store')
+    sections = ('instance', 'listeners', 'store', 'load')
     return [
         name for name in sections if getattr(old, name) != getattr(new, name)
     ]
--- a/siskinproxy/entry/settings.py
+++ b/siskinproxy/entry/settings.py
@@ -18,6 +18,7 @@
     'EntryBounds',
     'EntryIdentity',
     'EntryListeners',
+    'EntryLoad',
     'EntrySettings',
     'EntryStore',
 )
@@ -125,6 +126,14 @@
     ]
 
 
+class EntryLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Section ``load``: how openings and open flows are treated."""
+
+    reset_ended: Annotated[
+        bool, describe_key('reset open flows whose target has ended')
+    ] = False
+
+
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings file of an entry process, by section."""
 
@@ -132,3 +141,4 @@
     listeners: Annotated[EntryListeners, describe_key('ports')]
     store: Annotated[EntryStore, describe_key('store and other instances')]
     bounds: Annotated[EntryBounds, describe_key('bounds of the platform')]
+    load: Annotated[EntryLoad, describe_key('flows')] = EntryLoad()
--- a/siskinproxy/entry/tests/fakes.py
+++ b/siskinproxy/entry/tests/fakes.py
@@ -4,6 +4,7 @@
 
 from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
 from siskinproxy.entry.directory import TargetDirectory
+from siskinproxy.entry.ended_evidence import EndedEvidence
 from siskinproxy.entry.engine import EntryEngine
 from siskinproxy.entry.load_view import LoadView
 from siskinproxy.entry.packets import ACK, FIN, SYN
@@ -23,6 +24,8 @@
 
 #: Address and port at which callers reach the default route.
 VIRTUAL_ENDPOINT = bytes([198, 18, 0, 1]) + (443).to_bytes(2)
+#: Wall-clock time at the start of a test, in seconds.
+UNIX_START_S = 1000.0
 #: Bit in the platform's flags byte, for each flag of the entry process.
 WIRE_FLAGS = {SYN: 64, ACK: 2, FIN: 4}
 
@@ -127,7 +130,15 @@
 class Instance:
     """Engine of an instance, with its directory, routes and load counts."""
 
-    def __init__(self, name='one', zone='a', targets=(), cfg=None, seed=1):
+    def __init__(
+        self,
+        name='one',
+        zone='a',
+        targets=(),
+        cfg=None,
+        seed=1,
+        resets_ended=False,
+    ):
         self.outbox = Outbox()
         self.events = Events()
         self.directory = TargetDirectory()
@@ -136,6 +147,10 @@
         for record in targets:
             self.directory.announce(record, 0)
         self.responsiveness = Responsiveness()
+        self.unix_s = UNIX_START_S
+        self.ended = EndedEvidence(self.responsiveness, lambda: self.unix_s)
+        if resets_ended:
+            self.directory.on_change = self.ended.on_change
         self.cold_limit = ColdLimit(name, ColdBounds(1.5, 5))
         self.loads = LoadView()
         self.placer = Placer(
@@ -153,6 +168,7 @@
             self.responsiveness,
             self.outbox,
             self.events,
+            ended=self.ended if resets_ended else None,
         )
 
     def open(self, port, now_s, **fields):
