Count a later owner of an address that comes before the removal

Cause: an address may be given out again before three heartbeats are over. The new owner answers the checks of the old target, whose suspicion ends, so the removal of its entry did not count and its callers stayed in silence. Change: the last owner of each address is remembered and compared when an entry is removed or lapses. Ruled out: to count it while both are listed, since one entry may be wrong. Conclusion: flows end with the old entry at the latest.

--- a/siskinproxy/entry/ended_evidence.py
+++ b/siskinproxy/entry/ended_evidence.py
@@ -18,7 +18,7 @@
     TargetEvidence,
     decide,
 )
-from siskinproxy.entry.records import TargetRecord
+from siskinproxy.entry.records import Address, TargetRecord
 from siskinproxy.entry.responsiveness import Responsiveness
 
 __all__ = ('EndedEvidence',)
@@ -68,6 +68,8 @@
         self._limits = limits or EndedLimits()
         self._notes: dict[KnownTarget, _Notes] = {}
         self._heard_s: dict[KnownTarget, float] = {}
+        #: Target that started last of those announced at each address.
+        self._owners: dict[Address, KnownTarget] = {}
         self._last_heard: tuple[KnownTarget | None, float] = (None, NEVER_S)
         self._others_heard_s = NEVER_S
         self._paused_s = NEVER_S
@@ -104,13 +106,13 @@
             Current time in seconds.
         """
         if change is TargetChange.GONE or change is TargetChange.LAPSED:
-            self._note_absent(target, change)
+            self._note_absent(target, change, now_s)
         elif change is TargetChange.RESTARTED:
             self._note_restarted(target, earlier, now_s)
         else:
             self._drop_absence(target)
         if target.presence is Presence.LISTED:
-            self._note_address(target, now_s)
+            self._note_owner(target, now_s)
 
     def is_clear(self, target: KnownTarget) -> bool:
         """Return whether nothing is known against a target."""
@@ -139,13 +141,19 @@
         for notes in (self._notes, self._heard_s):
             for target in notes.keys() - known:
                 del notes[target]
+        for address, owner in tuple(self._owners.items()):
+            if owner not in known:
+                del self._owners[address]
 
-    def _note_absent(self, target: KnownTarget, change: TargetChange) -> None:
+    def _note_absent(
+        self, target: KnownTarget, change: TargetChange, now_s: float
+    ) -> None:
         notes = self._notes.setdefault(target, _Notes())
         # The suspicion is kept here: it is deleted once the target is gone.
         notes.silence = self._silence(target)
         if change is TargetChange.LAPSED:
             notes.has_lapsed = True
+        self._note_reuse(target, notes, now_s)
         self.has_news = True
 
     def _drop_absence(self, target: KnownTarget) -> None:
@@ -168,20 +176,30 @@
             notes.restarted_s = now_s - age_s
             self.has_news = True
 
-    def _note_address(self, owner: KnownTarget, now_s: float) -> None:
+    def _note_owner(self, owner: KnownTarget, now_s: float) -> None:
         """Note the absent targets whose address now has a later owner."""
+        address = owner.record.address
+        known = self._owners.get(address)
+        if known is None or not _is_later(known, owner):
+            self._owners[address] = owner
         for target, notes in self._notes.items():
-            is_later = (
-                0 < target.record.started_unix_ms < owner.record.started_unix_ms
-            )
-            if (
-                target is not owner
-                and target.presence is not Presence.LISTED
-                and target.record.address == owner.record.address
-                and is_later
-            ):
-                notes.reused_s = now_s
-                self.has_news = True
+            if target.record.address == address:
+                self._note_reuse(target, notes, now_s)
+
+    def _note_reuse(
+        self, target: KnownTarget, notes: _Notes, now_s: float
+    ) -> None:
+        """Note whether the address of an absent target has a later owner.
+
+        The owner may be announced before the entry of the target expires. It
+        then answers the checks meant for the target, which ends a suspicion.
+        """
+        owner = self._owners.get(target.record.address)
+        if owner is None or target.presence is Presence.LISTED:
+            return
+        if owner.presence is Presence.LISTED and _is_later(owner, target):
+            notes.reused_s = now_s
+            self.has_news = True
 
     def _evidence(self, target: KnownTarget) -> TargetEvidence:
         notes = self._notes.get(target) or _Notes()
@@ -214,3 +232,11 @@
             state.failed_checks,
             state.is_refused,
         )
+
+
+def _is_later(target: KnownTarget, other: KnownTarget) -> bool:
+    """Return whether a target is another one that started later."""
+    earlier_ms = other.record.started_unix_ms
+    return (
+        target is not other and 0 < earlier_ms < target.record.started_unix_ms
+    )
--- a/siskinproxy/entry/tests/test_ended_targets.py
+++ b/siskinproxy/entry/tests/test_ended_targets.py
@@ -393,6 +393,28 @@
     assert sorted(resets(instance)) == (ports['t-1'] if is_reset else [])
 
 
+@pytest.mark.parametrize('may_return', [False, True])
+def test_an_owner_that_comes_before_the_removal_ends_the_flows(may_return):
+    """Guards against silence if the address is given out before the removal.
+
+    The new owner answers the checks of the old target, so that it is no longer
+    suspected when its entry expires.
+    """
+    instance, ports = open_answered()
+    owner = target(
+        9,
+        'archive',
+        address=Address('10.0.0.1', 8080),
+        started_unix_ms=START_MS + 2000,
+    )
+    instance.directory.announce(owner, 2.5)
+    instance.engine.on_timer(2.5)
+    assert not resets(instance)
+    instance.directory.withdraw('t-1', 3.8, may_return=may_return)
+    instance.engine.on_timer(3.9)
+    assert sorted(resets(instance)) == ports['t-1']
+
+
 def test_a_target_that_is_announced_again_keeps_its_flows():
     """Guards against evidence that outlasts the return of an entry."""
     instance, ports = open_answered()
