--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -13,6 +13,9 @@
 
 from siskinproxy.entry.counting import FlowCounter
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
+from siskinproxy.entry.ended_evidence import EndedEvidence
+from siskinproxy.entry.ended_flows import EndedFlows
+from siskinproxy.entry.flow_reports import EventSink, FlowReports, Outbox
 from siskinproxy.entry.flows import FlowTable, OpenedFlow
 from siskinproxy.entry.metrics import Histogram
 from siskinproxy.entry.openings import FlowOpener
@@ -23,7 +26,6 @@
     PacketCodec,
     PacketHeader,
 )
-from siskinproxy.entry.ports import EventSink, Outbox
 from siskinproxy.entry.records import NO_TOKEN
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
@@ -63,6 +65,8 @@
     scheduler : Scheduler or None
         Decisions under scarcity; if given, requests are followed on open
         flows.
+    ended : EndedEvidence or None
+        Evidence on ended targets; None if their flows are not reset.
 
     Attributes
     ----------
@@ -90,6 +94,7 @@
         events: EventSink,
         timing: EngineTiming | None = None,
         scheduler: Scheduler | None = None,
+        ended: EndedEvidence | None = None,
     ) -> None:
         self.counters: Counter[str] = Counter()
         self.flows = FlowTable()
@@ -101,6 +106,10 @@
         self._counter = FlowCounter(
             self.flows, placer, self._timing.min_counting_timeout_s
         )
+        self._reports = FlowReports(self.counters, events)
+        self._ended = ended and EndedFlows(
+            ended, codec, directory, routes, outbox, self._reports
+        )
         self._opener = FlowOpener(
             codec,
             directory,
@@ -111,7 +120,7 @@
             events,
             self.flows,
             self._counter,
-            self.counters,
+            self._reports,
             self._timing,
             scheduler,
         )
@@ -200,9 +209,15 @@
         for expired in self.flows.counting_expired(now_s):
             self._counter.uncount(expired)
             if not expired.is_answered:
-                self._report_unanswered(expired, now_s)
+                self._reports.unanswered(expired, now_s)
         self.flows.remove_expired(now_s)
-        due_s = self._opener.on_timer(now_s)
+        if self._opener.restart_after_pause(now_s) and self._ended:
+            self._ended.note_paused(now_s)
+        if self._ended is not None:
+            self._ended.run(
+                self.flows, now_s, self._counter.uncount, self._opener.move
+            )
+        due_s = self._opener.check_answers(now_s)
         if not self.waiting:
             return due_s
         self.release(now_s)
@@ -229,6 +244,10 @@
         target = self._target_of(head, flow, now_s)
         if target is None:
             return
+        if self._ended and self._ended.on_packet(head, flow, target, now_s):
+            if flow is not None:
+                self._counter.uncount(flow)
+            return
         out_for_s = self._directory.zone_out_for_s(target.record.zone, now_s)
         if out_for_s > self._timing.zone_out_s:
             self.counters['dropped_zone_out'] += 1
@@ -291,41 +310,16 @@
             duration_s = now_s - flow.sent_s
             self._counter.note_duration(duration_s)
             if duration_s > flow.route.record.objective_s:
-                self._report_slow(flow, duration_s, now_s)
+                self._reports.slow(flow, duration_s, now_s)
         if self.waiting:
             self.release(now_s)
 
     def _on_finished(self, request: FinishedRequest, now_s: float) -> None:
         self._counter.note_duration(request.response_s)
         if request.response_s > request.flow.route.record.objective_s:
-            self._report_slow(request.flow, request.response_s, now_s)
+            self._reports.slow(request.flow, request.response_s, now_s)
         self._scheduler.on_finished(request, now_s)
 
-    def _report_slow(
-        self, flow: OpenedFlow, duration_s: float, now_s: float
-    ) -> None:
-        self.counters['slow'] += 1
-        self._events.event(
-            'flow_slow',
-            flow=flow.head.caller,
-            route=flow.route.record.name,
-            target=flow.target.name,
-            took_ms=round(1000 * duration_s),
-            objective_ms=round(1000 * flow.route.record.objective_s),
-            since_first_ms=round(1000 * (now_s - flow.opened_s)),
-        )
-
-    def _report_unanswered(self, flow: OpenedFlow, now_s: float) -> None:
-        self.counters['never_answered'] += 1
-        self._events.event(
-            'opening_unanswered',
-            flow=flow.head.caller,
-            route=flow.route.record.name,
-            target=flow.target.name,
-            tried=len(flow.tried) + 1,
-            since_first_ms=round(1000 * (now_s - flow.opened_s)),
-        )
-
     def take_ended_hashes(self) -> tuple[int, ...]:
         """Return and clear the hashes of flows to release at other instances.
 
--- a/siskinproxy/entry/openings.py
+++ b/siskinproxy/entry/openings.py
@@ -13,10 +13,10 @@
 
 from siskinproxy.entry.counting import FlowCounter
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
+from siskinproxy.entry.flow_reports import EventSink, FlowReports, Outbox
 from siskinproxy.entry.flows import FlowTable, OpenedFlow
 from siskinproxy.entry.metrics import Histogram
 from siskinproxy.entry.packets import PacketCodec, PacketHeader
-from siskinproxy.entry.ports import EventSink, Outbox
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import ActiveRoute, RouteTable
 from siskinproxy.entry.scheduling.scheduler import PlacementStep, Scheduler
@@ -60,8 +60,8 @@
         Flows of this instance.
     counter : FlowCounter
         Counts the flows in progress.
-    counters : Counter
-        Number of packets and flows by outcome.
+    reports : FlowReports
+        Counts and logs what becomes of flows.
     timing : EngineTiming
         Timeouts and intervals.
     scheduler : Scheduler or None
@@ -89,7 +89,7 @@
         events: EventSink,
         flows: FlowTable,
         counter: FlowCounter,
-        counters: Counter[str],
+        reports: FlowReports,
         timing: EngineTiming,
         scheduler: Scheduler | None = None,
     ) -> None:
@@ -103,7 +103,8 @@
         self._events = events
         self._flows = flows
         self._counter = counter
-        self._counters = counters
+        self._reports = reports
+        self._counters = reports.counters
         self.timing = timing
         self.waiting = WaitingOpenings()
         self.answer_times = Histogram()
@@ -122,8 +123,8 @@
             timing.max_answer_timeout_s,
         )
 
-    def on_timer(self, now_s: float) -> float | None:
-        """Move unanswered openings; return when the next answer is due.
+    def restart_after_pause(self, now_s: float) -> bool:
+        """Restart the answer timeouts if the process has just been paused.
 
         Parameters
         ----------
@@ -132,12 +133,13 @@
 
         Returns
         -------
-        float or None
-            Time of the next call, in seconds; None if no answer is awaited.
+        bool
+            Whether it has.
         """
-        if self._was_paused(now_s):
+        was_paused = self._was_paused(now_s)
+        if was_paused:
             self._restart_answer_timeouts(now_s)
-        return self._check_answer_deadlines(now_s)
+        return was_paused
 
     def on_opening(
         self, head: PacketHeader, packet: bytes, now_s: float
@@ -182,13 +184,11 @@
             self.refuse(opening.head, 'no_room')
             return
         self.waiting.add(opening)
-        self._counters['waited'] += 1
-        self._events.event(
-            'flow_waits',
-            flow=opening.head.caller,
-            route=opening.route.record.name,
-            reason=placement.reason.value,
-            waiting=len(self.waiting),
+        self._reports.waits(
+            opening.head,
+            opening.route,
+            placement.reason.value,
+            len(self.waiting),
         )
 
     def release(self, now_s: float) -> None:
@@ -230,7 +230,7 @@
     ) -> bool:
         """Return whether an opening will not find a target in time."""
         scheduler = self._scheduler
-        if scheduler is None or not scheduler.options.refuses_early:
+        if scheduler is None or not scheduler.refuses_early(key[0]):
             return False
         scheduler.waits.note_blocked(key, now_s)
         return scheduler.waits.is_hopeless(
@@ -271,16 +271,8 @@
         self._flows.add(flow, expires_s)
         self._counter.count(flow, now_s)
         self._send_opening(flow, placement, now_s)
-        self._counters['opened'] += 1
-        self._events.event(
-            'flow_opened',
-            flow=opening.head.caller,
-            route=record.name,
-            target=placement.target.name,
-            reason=placement.reason.value,
-            copy=opening.head.copy,
-            waited_ms=round(1000 * (now_s - opening.arrived_s)),
-            config=self._routes.version,
+        self._reports.opened(
+            flow, placement, now_s - opening.arrived_s, self._routes.version
         )
 
     def note_answered(
@@ -302,7 +294,19 @@
         if self._responsiveness.note_answered(target, now_s):
             self._events.event('target_trusted', target=target.name)
 
-    def _check_answer_deadlines(self, now_s: float) -> float | None:
+    def check_answers(self, now_s: float) -> float | None:
+        """Move openings without an answer; return when the next is due.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float or None
+            Time of the next call, in seconds; None if no answer is awaited.
+        """
         while self._answer_deadlines:
             due_s, flow = self._answer_deadlines[0]
             is_open = self._flows.get(flow.key) is flow
@@ -324,7 +328,7 @@
             flow.target, flow.sent_s
         ):
             return
-        self._move_opening(flow, now_s)
+        self.move(flow, now_s)
 
     def _on_retransmission(
         self, flow: OpenedFlow, packet: bytes, now_s: float
@@ -340,7 +344,7 @@
             self.forward(flow.target, packet)
             return
         self._note_unanswered(flow, now_s)
-        self._move_opening(flow, now_s)
+        self.move(flow, now_s)
 
     def _note_unanswered(self, flow: OpenedFlow, now_s: float) -> None:
         if flow.was_timeout_noted:
@@ -358,7 +362,8 @@
                 waited_ms=round(1000 * (now_s - flow.sent_s)),
             )
 
-    def _move_opening(self, flow: OpenedFlow, now_s: float) -> None:
+    def move(self, flow: OpenedFlow, now_s: float) -> None:
+        """Send an opening without an answer to another target, if any."""
         target = flow.target
         tried = (*flow.tried, target)
         placement = self._place(flow.route, flow.key, now_s, tried)
@@ -367,16 +372,7 @@
         self._counter.uncount(flow)
         flow.move_to(placement.target, now_s)
         self._counter.count(flow, now_s)
-        self._events.event(
-            'opening_moved',
-            flow=flow.head.caller,
-            route=flow.route.record.name,
-            earlier=target.name,
-            target=placement.target.name,
-            reason=placement.reason.value,
-            waited_ms=round(1000 * (now_s - flow.opened_s)),
-        )
-        self._counters['moved'] += 1
+        self._reports.moved(flow, target, placement, now_s)
         self._send_opening(flow, placement, now_s)
 
     def _send_opening(
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -20,6 +20,7 @@
 from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
 from siskinproxy.entry.cold_limit import ColdLimit
 from siskinproxy.entry.directory import TargetDirectory
+from siskinproxy.entry.ended_evidence import EndedEvidence
 from siskinproxy.entry.engine import EntryEngine
 from siskinproxy.entry.event_log import BoundedLog
 from siskinproxy.entry.failure_detector import FailureDetector
@@ -271,6 +272,10 @@
             random.Random(),
         )
         self.scheduler = self._build_scheduler()
+        ended = None
+        if self._cfg.load.reset_ended:
+            ended = EndedEvidence(self.responsiveness, time.time)
+            self.directory.on_change = ended.on_change
         return EntryEngine(
             codec,
             self.directory,
@@ -280,6 +285,7 @@
             self.socket,
             self.log,
             scheduler=self.scheduler,
+            ended=ended,
         )
 
     def _build_scheduler(self) -> Scheduler | None:
--- a/siskinproxy/entry/scheduling/scheduler.py
+++ b/siskinproxy/entry/scheduling/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 from math import inf
 from typing import Any, Final
@@ -198,6 +198,15 @@
         """Count a flow that its caller has closed."""
         self._state(flow.target.record.service).note_closed()
 
+    def refuses_early(self, service: str) -> bool:
+        """Return whether openings of a service may be refused at once.
+
+        This is so where requests on open flows fill the targets. If each
+        request opens a flow, a queue of openings is all the demand there is,
+        and a caller that waits keeps the tries that it has left.
+        """
+        return self.options.refuses_early and self._state(service).keeps_flows
+
     def steps(
         self, route: ActiveRoute, service: str, full_load: float, now_s: float
     ) -> tuple[PlacementStep, ...]:
--- a/siskinproxy/entry/settings.py
+++ b/siskinproxy/entry/settings.py
@@ -127,7 +127,7 @@
 
 
 class EntryLoad(msgspec.Struct, frozen=True, kw_only=True):
-    """Section ``load``: what happens if there is not enough room."""
+    """Section ``load``: scarce room, unequal targets and ended targets."""
 
     lanes: Annotated[
         bool,
@@ -141,6 +141,9 @@
         bool,
         describe_key('whether the load of a target follows its response times'),
     ] = False
+    reset_ended: Annotated[
+        bool, describe_key('reset open flows whose target has ended')
+    ] = False
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
