Count calls to the store by kind and cause

Cause: the price of calls was known only as a sum, so no cause could be blamed. Ruled out: an argument 'cause' of each call of PrefixStore, which every client and stand-in would have to carry without using it.

--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -22,6 +22,7 @@
 )
 from siskinproxy.entry.sources import Source, SourceSelector
 from siskinproxy.entry.store import PrefixChanges, PrefixStore
+from siskinproxy.entry.store_calls import CallCause, CallKind, StoreCalls
 from siskinproxy.errors import (
     LinkFormatError,
     StoreError,
@@ -96,6 +97,8 @@
         Timeouts and delays; None for the defaults.
     clock : callable
         Returns the monotonic time in seconds.
+    calls : StoreCalls or None
+        Where calls to the store are counted.
 
     Attributes
     ----------
@@ -117,6 +120,7 @@
         events: Any,
         timing: FollowerTiming | None = None,
         clock: Callable[[], float] = time.monotonic,
+        calls: StoreCalls | None = None,
     ) -> None:
         self.confirmed_s: float = -1
         self._name = name
@@ -127,10 +131,13 @@
         self._events = events
         self.timing = timing or FollowerTiming()
         self._clock = clock
+        self._calls = calls or StoreCalls(events, clock)
         self._clients: dict[str, PeerClient] = {}
         self._changed = Event()
         self._last_packed: tuple[tuple[int, ...], bytes] | None = None
         self._needs_full_read = True
+        self._read_cause = CallCause.START
+        self._has_store_failed = False
         self._lost_since_s: float | None = None
         self._regained_s: float | None = None
         self._source: Source | None = None
@@ -224,6 +231,7 @@
                 self._ask(source)
             except StoreHistoryLostError as exc:
                 self._needs_full_read = True
+                self._read_cause = CallCause.HISTORY_LOST
                 self._events.event('store_history_lost', reason=str(exc))
             except (StoreError, LinkFormatError) as exc:
                 self._note_failed(source, exc)
@@ -265,15 +273,29 @@
         return min(now_s, sent_s + timing.watch_s + timing.answer_slack_s)
 
     def _ask_store(self) -> PrefixChanges:
+        has_failed = self._has_store_failed
+        self._has_store_failed = True  # until this call has succeeded
         if self._needs_full_read:
+            cause = CallCause.FAILURE if has_failed else self._read_cause
+            self._calls.note(CallKind.READ, cause)
             changes = self._store.read(self._prefix)
+            more_pages = changes.pages - 1
+            self._calls.note(CallKind.READ, CallCause.NEXT_PAGE, more_pages)
             self._needs_full_read = False
-            return changes
-        return self._store.watch(
-            self._prefix,
-            self._cluster_state.mirror.revision,
-            self.timing.watch_s,
-        )
+        else:
+            cause = CallCause.READER
+            if has_failed:
+                cause = CallCause.FAILURE
+            elif not self._selector.is_reader:
+                cause = CallCause.SOURCE_AWAY
+            self._calls.note(CallKind.WATCH, cause)
+            changes = self._store.watch(
+                self._prefix,
+                self._cluster_state.mirror.revision,
+                self.timing.watch_s,
+            )
+        self._has_store_failed = False
+        return changes
 
     def _check_history(self, changes: PrefixChanges) -> None:
         """Raise an error if an answer can't be applied.
--- a/siskinproxy/entry/metrics.py
+++ b/siskinproxy/entry/metrics.py
@@ -39,7 +39,7 @@
     doc : str
         Help text.
     labels : tuple of str
-        Label names, at most one. The code determines the set of label values,
+        Label names. The code determines the set of label values,
         so that it does not grow with the load.
     """
 
@@ -111,6 +111,12 @@
         'Revision of the store, within its epoch, up to which no change is '
         'missing.',
     ),
+    MetricDescription(
+        'siskinproxy_entry_store_calls_total',
+        'counter',
+        'Calls to the store by what they do and why they are made.',
+        ('kind', 'cause'),
+    ),
     MetricDescription(
         'siskinproxy_entry_belief_age_seconds',
         'gauge',
@@ -186,8 +192,8 @@
         Returns
         -------
         dict of str to object
-            Each value is a number, a dict of numbers by label value, or a
-            `Histogram`.
+            Each value is a number, a dict of numbers by label value (a tuple
+            of values if there are several labels), or a `Histogram`.
         """
         process = self._process
         engine = process.engine
@@ -208,6 +214,7 @@
             'siskinproxy_entry_store_revision': (
                 process.cluster_state.mirror.revision
             ),
+            'siskinproxy_entry_store_calls_total': process.store_calls.values(),
             'siskinproxy_entry_belief_age_seconds': _age_or_infinity(
                 process.follower.age_s(now_s)
             ),
--- a/siskinproxy/entry/metrics_text.py
+++ b/siskinproxy/entry/metrics_text.py
@@ -52,8 +52,9 @@
     kind = _KINDS[metric.kind]
     collector = kind(metric.name, metric.doc, registry=registry)
     if metric.labels:
-        for label, number in value.items():
-            collector.set({metric.labels[0]: label}, number)
+        for key, number in value.items():
+            labels = key if isinstance(key, tuple) else (key,)
+            collector.set(dict(zip(metric.labels, labels, strict=True)), number)
     else:
         collector.set({}, value)
 
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -49,6 +49,7 @@
     may_become_unready,
 )
 from siskinproxy.entry.store import PrefixStore
+from siskinproxy.entry.store_calls import StoreCalls
 from siskinproxy.entry.target_selection import Placer
 from siskinproxy.errors import SettingsError
 from siskinproxy.settings_file import read_settings
@@ -99,6 +100,8 @@
         Monotonic time of the start, in seconds.
     record : InstanceRecord
         Registration of this instance.
+    store_calls : StoreCalls
+        Counts of the calls to the store.
     """
 
     def __init__(
@@ -165,6 +168,7 @@
             cfg.listeners.peer_port,
             cfg.instance.link_mbps,
         )
+        self.store_calls = StoreCalls(self.log)
         self.follower = ChangeFollower(
             cfg.instance.name,
             store,
@@ -174,6 +178,7 @@
                 record, self.instances, random.Random(), _seed_instances(cfg)
             ),
             self.log,
+            calls=self.store_calls,
         )
         self._apply_bounds()
         self._peer_server = PeerServer(
@@ -185,6 +190,7 @@
             self.cluster_state.mirror,
             self.instances.__len__,
             self.log,
+            calls=self.store_calls,
         )
         self.record = record
         self._receivers: tuple[InstanceRecord, ...] = ()
--- a/siskinproxy/entry/registration.py
+++ b/siskinproxy/entry/registration.py
@@ -25,6 +25,7 @@
 )
 from siskinproxy.entry.mirror import StoreMirror
 from siskinproxy.entry.store import Lease, PrefixStore
+from siskinproxy.entry.store_calls import CallCause, CallKind, StoreCalls
 from siskinproxy.errors import LeaseLostError, StoreError
 
 __all__ = ('Registration', 'RegistrationTiming')
@@ -77,6 +78,8 @@
         Where failed calls and a lost lease are reported.
     timing : RegistrationTiming or None
         Lease time and delays; None for the defaults.
+    calls : StoreCalls or None
+        Where calls to the store are counted.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         fleet_size: Callable[[], int],
         events: Any,
         timing: RegistrationTiming | None = None,
+        calls: StoreCalls | None = None,
     ) -> None:
         self._store = store
         self._record = record
@@ -95,6 +99,8 @@
         self._events = events
         self._key = f'{INSTANCES_PREFIX}{record.name}'
         self._timing = timing or RegistrationTiming()
+        self._calls = calls or StoreCalls(events)
+        self._cause = CallCause.START
         self._lease: Lease | None = None
         self._wake = Event()
         self._greenlet: gevent.Greenlet | None = None
@@ -124,12 +130,15 @@
                 self._register_or_renew()
             except LeaseLostError as exc:
                 self._lease = None
+                self._cause = CallCause.LEASE_LOST
                 self._report_failure('registration_lost', exc)
                 gevent.sleep(0)
             except StoreError as exc:
+                self._cause = CallCause.FAILURE
                 self._report_failure('registration_failed', exc)
                 gevent.sleep(self._timing.retry_s)
             else:
+                self._cause = CallCause.DUE
                 self._wake.wait(self._timing.renew_s)
 
     def _wait_for_list(self, epoch: int) -> None:
@@ -154,14 +163,19 @@
 
     def _register_or_renew(self) -> None:
         if self._lease is not None:
-            epoch = self._store.keep_alive(self._lease.lease_id)
+            epoch = self._renew(self._lease)
             if epoch == self._lease.epoch:
                 return
+            self._cause = CallCause.RESTORED
             self._lease = self._find_restored_lease(epoch)
         if self._lease is None:
             self._lease = self._register()
         else:
-            self._store.keep_alive(self._lease.lease_id)
+            self._renew(self._lease)
+
+    def _renew(self, lease: Lease) -> int:
+        self._calls.note(CallKind.RENEW, self._cause)
+        return self._store.keep_alive(lease.lease_id)
 
     def _find_restored_lease(self, epoch: int) -> Lease | None:
         """Return the lease that holds the registration in a restored store."""
@@ -175,7 +189,9 @@
         return None
 
     def _register(self) -> Lease:
+        self._calls.note(CallKind.GRANT, self._cause)
         lease = self._store.grant_lease(self._timing.lease_s)
+        self._calls.note(CallKind.WRITE, self._cause)
         epoch = self._store.put(
             self._key, encode_instance(self._record), lease.lease_id
         )
--- a/siskinproxy/entry/sources.py
+++ b/siskinproxy/entry/sources.py
@@ -130,6 +130,11 @@
         ]
         return Source(self._rng.choice(others)) if others else STORE
 
+    @property
+    def is_reader(self) -> bool:
+        """Whether this instance ranks first in its zone."""
+        return not self._ranked_above_own()
+
     def note_failed(self, source: Source, now_s: float) -> None:
         """Skip a source that failed, for the time of `SourceLimits`."""
         limits = self._limits
--- a/siskinproxy/entry/store.py
+++ b/siskinproxy/entry/store.py
@@ -87,12 +87,15 @@
         History of the store to which the revisions belong. It rises each time
         the store is restored from a copy: changes after the copy are lost then,
         and their revisions are given out again.
+    pages : int
+        Calls to the store that the answer took; more than one for a long list.
     """
 
     items: tuple[StoredItem | ItemRemoved, ...]
     revision: int
     is_complete: bool
     epoch: int = 0
+    pages: int = 1
 
 
 class PrefixStore(Protocol):
--- a/siskinproxy/entry/tests/test_follower.py
+++ b/siskinproxy/entry/tests/test_follower.py
@@ -93,6 +93,8 @@
         self.sources = list(sources)
         self.failed = []
 
+    is_reader = True
+
     def choose(self, now_s):
         return self.sources[0]
 
--- a/siskinproxy/entry/tests/test_metrics.py
+++ b/siskinproxy/entry/tests/test_metrics.py
@@ -25,7 +25,11 @@
         if metric.kind == 'histogram':
             found[metric.name] = durations
         else:
-            found[metric.name] = {'a': 2} if metric.labels else 7
+            found[metric.name] = 7
+        if metric.labels:
+            labels = ('a', 'b')[: len(metric.labels)]
+            key = labels if len(labels) > 1 else labels[0]
+            found[metric.name] = {key: 2}
     return found
 
 
@@ -36,6 +40,7 @@
         assert f'# TYPE {metric.name} {metric.kind}' in page
     assert 'siskinproxy_entry_flows 7' in page
     assert 'siskinproxy_entry_targets{state="a"} 2' in page
+    assert 'siskinproxy_entry_store_calls_total{cause="b",kind="a"} 2' in page
 
 
 def test_histograms_are_cumulative():
--- a/siskinproxy/platform/http_store.py
+++ b/siskinproxy/platform/http_store.py
@@ -153,6 +153,7 @@
         page, epoch = self._read_page(path)
         items = list(page.items)
         revision = page.revision
+        pages = 1
         while page.is_cut:
             page, page_epoch = self._read_page(
                 f'{path}&after={quote(items[-1].key)}'
@@ -162,8 +163,11 @@
                     f'epoch={page_epoch} epoch_of_first_page={epoch}'
                 )
             items.extend(page.items)
+            pages += 1
         converted = tuple(_convert_item(each) for each in items)
-        return PrefixChanges(converted, revision, is_complete=True, epoch=epoch)
+        return PrefixChanges(
+            converted, revision, is_complete=True, epoch=epoch, pages=pages
+        )
 
     def watch(
         self, prefix: str, after_revision: int, timeout_s: float
