Ask the store from three instances of a zone while it is away

Change: a stale source keeps its rank and is avoided for 1 s; the first three living instances of a zone ask the store, the others take turns. Leads that are refused ask readers of other zones, with half the wait. Dead instances are passed over. Refused renewals are repeated after 1.5, 3 and 4 s, and at once when the store is back. Entry and platform tests pass.

--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -176,6 +176,10 @@
         """
         return None if self.confirmed_s < 0 else now_s - self.confirmed_s
 
+    def is_stale(self, now_s: float) -> bool:
+        """Return whether no source has heard from the store lately."""
+        return self._is_stale(self.age_s(now_s))
+
     def answer(self, query: ChangesQuery) -> ChangesAnswer:
         """Return the changes that another instance lacks.
 
@@ -264,7 +268,7 @@
             self._regained_s = now_s
         self._apply(source, changes, confirmed_s, now_s)
         if self._is_stale(age_s):
-            self._selector.note_failed(source, now_s)
+            self._selector.note_stale(source, now_s)
             gevent.sleep(self.timing.retry_s)
 
     def _latest_answer_s(self, sent_s: float, now_s: float) -> float:
@@ -327,7 +331,7 @@
                 source.instance.address, self.timing.peer_timeout_s
             )
             self._clients[source.name] = client
-        wait_ms = round(1000 * self.timing.watch_s)
+        wait_ms = round(1000 * self.timing.watch_s * source.wait_share)
         mirror = self._cluster_state.mirror
         return client.ask(
             ChangesQuery(self._name, mirror.revision, wait_ms, mirror.epoch)
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -318,7 +318,7 @@
                     'target_changed', target=target.name, change='not_returned'
                 )
             self.cluster_state.expire(now_s)
-            self._registration.check()
+            self._registration.check(is_away=self.follower.is_stale(now_s))
             self._update_fleet(now_s)
             self._run_timer()
 
--- a/siskinproxy/entry/registration.py
+++ b/siskinproxy/entry/registration.py
@@ -43,7 +43,11 @@
     renew_s : float
         Time between renewals of the lease.
     retry_s : float
-        Delay after a failed call to the store.
+        Delay after a failed call to the store. It doubles with each further
+        failed renewal.
+    longest_retry_s : float
+        Longest delay after a failed renewal, short enough for a last one just
+        before the lease ends.
     list_wait_s : float
         Longest wait for the first list of the store's items.
     list_check_s : float
@@ -56,6 +60,7 @@
     lease_s: float = 20.0
     renew_s: float = 6.0
     retry_s: float = 1.5
+    longest_retry_s: float = 4.0
     list_wait_s: float = 1.0
     list_check_s: float = 0.02
     spread_s: float = 0.005
@@ -102,6 +107,8 @@
         self._calls = calls or StoreCalls(events)
         self._cause = CallCause.START
         self._lease: Lease | None = None
+        self._failures = 0
+        self._was_away = False
         self._wake = Event()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -115,9 +122,19 @@
             self._greenlet.kill()
             self._greenlet = None
 
-    def check(self) -> None:
-        """Look after the registration at once if the store was restored."""
+    def check(self, *, is_away: bool = False) -> None:
+        """Look after the registration at once if the store was restored.
+
+        Parameters
+        ----------
+        is_away : bool
+            Whether no source has heard from the store lately. When it is back,
+            a renewal that failed is repeated without the rest of its delay.
+        """
         lease = self._lease
+        if self._was_away and not is_away and self._failures:
+            self._wake.set()
+        self._was_away = is_away
         if lease is not None and lease.epoch != self._mirror.epoch:
             self._wake.set()
 
@@ -136,11 +153,23 @@
             except StoreError as exc:
                 self._cause = CallCause.FAILURE
                 self._report_failure('registration_failed', exc)
-                gevent.sleep(self._timing.retry_s)
+                self._wait_after_failure()
             else:
                 self._cause = CallCause.DUE
+                self._failures = 0
                 self._wake.wait(self._timing.renew_s)
 
+    def _wait_after_failure(self) -> None:
+        timing = self._timing
+        gevent.sleep(timing.retry_s)
+        if self._lease is None:
+            return
+        delay_s = min(
+            timing.retry_s * 2**self._failures, timing.longest_retry_s
+        )
+        self._failures += 1
+        self._wake.wait(max(delay_s - timing.retry_s, 0))
+
     def _wait_for_list(self, epoch: int) -> None:
         """Wait for the first list, of this epoch of the store or a later one."""
         timing = self._timing
--- a/siskinproxy/entry/sources.py
+++ b/siskinproxy/entry/sources.py
@@ -4,6 +4,10 @@
 of instances. In each zone therefore one instance watches the store and relays
 its changes to the others. An instance asks the next one in the ranking if its
 source is stale, does not answer or has left.
+
+A source that does not answer has probably failed, so the next one takes its
+place. A stale source has lost the store itself: then it is likely that the store
+turns away this instance as well, so only the first few of a zone keep asking it.
 """
 
 import random
@@ -25,9 +29,14 @@
     ----------
     instance : InstanceRecord or None
         Instance to ask; None for the store itself.
+    wait_share : float
+        Share of the usual wait for changes after which the source should
+        answer. Below 1 if instances of this zone in turn ask this one, so that
+        what they learn is not stale.
     """
 
     instance: InstanceRecord | None = None
+    wait_share: float = 1
 
     @property
     def name(self) -> str:
@@ -45,26 +54,34 @@
     Parameters
     ----------
     avoid_s : float
-        Time for which an instance that failed or was stale is not asked
-        again, in seconds.
+        Time for which an instance that failed is not asked again, in seconds.
+    avoid_stale_s : float
+        Time for which a stale instance is not asked again, in seconds; shorter,
+        since it may reach the store again at any time.
     avoid_store_s : float
         Time for which the store is not asked again after a failure, in
         seconds; shorter, since it may be available again at any time.
     zone_attempts : int
         Instances of the same zone that are tried before the store is asked.
+        As many below the first one keep asking the store while it is away.
+    relayed_wait_share : float
+        Share of the usual wait for changes after which an instance of another
+        zone should answer.
     """
 
     avoid_s: float = 4.0
+    avoid_stale_s: float = 1.0
     avoid_store_s: float = 1.0
     zone_attempts: int = 2
+    relayed_wait_share: float = 0.5
 
 
 class SourceSelector:
     """Selects a source by a ranking that all instances of a zone share.
 
     The instance that ranks first asks the store; each other one asks the first
-    instance that ranks above it and has not failed lately, or the store if
-    `SourceLimits.zone_attempts` instances, or all above it, have failed.
+    instance that ranks above it and has not failed lately, or the store after
+    `SourceLimits.zone_attempts` failures, or if all above it have failed.
 
     Parameters
     ----------
@@ -98,6 +115,13 @@
         )
         self._limits = limits or SourceLimits()
         self._avoided_until_s: dict[str, float] = {}
+        #: Stale instances; those that are avoided otherwise have failed.
+        self._stale: set[str] = set()
+        #: Failures of instances since the store was considered last.
+        self._failures = 0
+        #: Time at which this instance may ask the store although its sources
+        #: have lost it, in seconds; None while they have not.
+        self._turn_s: float | None = None
 
     def choose(self, now_s: float) -> Source:
         """Return the source to ask next.
@@ -111,24 +135,86 @@
         -------
         Source
             The highest-ranked of the first `SourceLimits.zone_attempts`
-            instances that rank above this one in its zone; else the store;
-            else a random one of all registered instances, or of the seeds if
-            no instance is registered. Sources that failed lately are skipped.
-            If all of them failed lately, the store.
+            instances that rank above this one in its zone and have not failed;
+            else the store; else an instance of another zone that reads the
+            store for it; else a random one of all registered instances, or of
+            the seeds if no instance is registered. Sources that failed or were
+            stale lately are skipped. If all of them were, the store.
         """
-        for record in self._ranked_above_own()[: self._limits.zone_attempts]:
-            if not self._is_avoided(record.name, now_s):
-                return Source(record)
-        if not self._is_avoided(STORE.name, now_s):
+        limits = self._limits
+        above = [
+            record
+            for record in self._ranked_above_own()
+            if record.name in self._stale
+            or not self._is_avoided(record.name, now_s)
+        ]
+        if self._failures < limits.zone_attempts:
+            for upper in above[: limits.zone_attempts]:
+                if not self._is_avoided(upper.name, now_s):
+                    if upper.name not in self._stale:
+                        self._turn_s = None
+                    return Source(upper)
+        is_lead = len(above) <= limits.zone_attempts
+        may_ask_store = (
+            is_lead
+            or self._failures >= limits.zone_attempts
+            or self._is_own_turn(now_s)
+        )
+        self._failures = 0
+        if may_ask_store and not self._is_avoided(STORE.name, now_s):
             return STORE
-        known = tuple(self._instances.registered()) or self._seeds
+        return self._choose_other(now_s, is_lead=is_lead)
+
+    def _choose_other(self, now_s: float, *, is_lead: bool) -> Source:
+        """Return an instance of any zone; the store if all are avoided."""
+        registered = tuple(self._instances.registered())
+        own = self._own
         others = [
             other
-            for other in known
-            if other.name != self._own.name
+            for other in registered or self._seeds
+            if other.name != own.name
             and not self._is_avoided(other.name, now_s)
         ]
-        return Source(self._rng.choice(others)) if others else STORE
+        if not others:
+            return STORE
+        if is_lead:
+            # Only these ask the readers, which could not serve all instances.
+            readers = self._readers_of_other_zones(registered)
+            others = [each for each in others if each in readers] or others
+        chosen = self._rng.choice(others)
+        is_relayed = bool(registered) and chosen.zone != own.zone
+        share = self._limits.relayed_wait_share if is_relayed else 1
+        return Source(chosen, share)
+
+    def _is_own_turn(self, now_s: float) -> bool:
+        """Return whether this instance may ask the store out of its rank.
+
+        The turns are spread so that all instances of a zone together ask as
+        often as those that rank first. One of them may be the only one that the
+        store serves.
+        """
+        limits = self._limits
+        if self._turn_s is None:
+            size = len(self._instances.in_zone(self._own.zone))
+            longest_s = limits.avoid_store_s * size / (limits.zone_attempts + 1)
+            self._turn_s = now_s + self._rng.uniform(0, 2 * longest_s)
+        return now_s >= self._turn_s
+
+    def _readers_of_other_zones(
+        self, registered: Sequence[InstanceRecord]
+    ) -> set[InstanceRecord]:
+        """Return the first `SourceLimits.zone_attempts` of each other zone."""
+        zones: dict[str, list[InstanceRecord]] = {}
+        for each in registered:
+            zones.setdefault(each.zone, []).append(each)
+        zones.pop(self._own.zone, None)
+        return {
+            record
+            for members in zones.values()
+            for record in sorted(members, key=_rank)[
+                : self._limits.zone_attempts
+            ]
+        }
 
     @property
     def is_reader(self) -> bool:
@@ -138,14 +224,28 @@
     def note_failed(self, source: Source, now_s: float) -> None:
         """Skip a source that failed, for the time of `SourceLimits`."""
         limits = self._limits
-        is_store = source.instance is None
-        avoid_s = limits.avoid_store_s if is_store else limits.avoid_s
-        self._avoided_until_s[source.name] = now_s + avoid_s
+        self._stale.discard(source.name)
+        if source.instance is None:
+            self._turn_s = None
+            self._avoid(source, now_s + limits.avoid_store_s)
+        else:
+            self._failures += 1
+            self._avoid(source, now_s + limits.avoid_s)
+
+    def note_stale(self, source: Source, now_s: float) -> None:
+        """Skip a source that has lost the store, for a shorter time."""
+        self._stale.add(source.name)
+        self._avoid(source, now_s + self._limits.avoid_stale_s)
 
     def note_answered(self, source: Source) -> None:
         """Allow a source again, since it has answered."""
+        self._failures = 0
+        self._stale.discard(source.name)
         self._avoided_until_s.pop(source.name, None)
 
+    def _avoid(self, source: Source, until_s: float) -> None:
+        self._avoided_until_s[source.name] = until_s
+
     def _is_avoided(self, name: str, now_s: float) -> bool:
         return self._avoided_until_s.get(name, 0) > now_s
 
--- a/siskinproxy/entry/tests/test_follower.py
+++ b/siskinproxy/entry/tests/test_follower.py
@@ -102,6 +102,9 @@
         self.failed.append(source.name)
         self.sources.append(self.sources.pop(0))
 
+    def note_stale(self, source, now_s):
+        self.note_failed(source, now_s)
+
     def note_answered(self, source):
         pass
 
@@ -286,6 +289,33 @@
     assert second.follower.age_s(1e9) is None
 
 
+@pytest.mark.parametrize(('share', 'wait_ms'), [(1, 50), (0.5, 25)])
+def test_an_instance_is_asked_to_wait_as_the_source_says(
+    store, make_follower, share, wait_ms
+):
+    """Guards against answers that are stale at the end of a chain.
+
+    An instance that passes on what it learns from another zone has to learn it
+    sooner than the instances that ask it.
+    """
+    queries = []
+
+    def answer(query):
+        queries.append(query)
+        return first.follower.answer(query)
+
+    first = make_follower(store)
+    server = PeerServer(Address('127.0.0.1', 0), answer, first.events)
+    server.start()
+    try:
+        peer = InstanceRecord('i-2', 'b', '127.0.0.1', server.port)
+        second = make_follower(FakeStore(), Source(peer, share))
+        second.wait_for(lambda: queries)
+    finally:
+        server.close()
+    assert queries[0].wait_ms == wait_ms
+
+
 def test_a_silent_instance_is_given_up(store, make_follower):
     """Guards against waiting for an instance that accepts but never answers."""
     listener = gevent.socket.socket()
--- a/siskinproxy/entry/tests/test_registration.py
+++ b/siskinproxy/entry/tests/test_registration.py
@@ -13,7 +13,7 @@
 from siskinproxy.entry.registration import Registration, RegistrationTiming
 from siskinproxy.entry.store import Lease, PrefixChanges, StoredItem
 from siskinproxy.entry.tests.fakes import Events
-from siskinproxy.errors import LeaseLostError
+from siskinproxy.errors import LeaseLostError, StoreUnavailableError
 
 RECORD = InstanceRecord('i-1', 'a', '127.0.0.1', 7)
 KEY = f'{INSTANCES_PREFIX}i-1'
@@ -149,6 +149,54 @@
     assert store.calls[1:] == calls
 
 
+class RefusingStore(Store):
+    """Store that refuses renewals."""
+
+    def keep_alive(self, lease_id):
+        self.calls.append(('renew', lease_id))
+        raise StoreUnavailableError('status=503')
+
+
+@pytest.mark.parametrize(('returns', 'renewals'), [(False, 3), (True, 4)])
+def test_refused_renewals_are_repeated_ever_more_rarely(returns, renewals):
+    """Guards against instances that all keep asking a store in trouble.
+
+    Each refused renewal has the full price. When the store is back, they must
+    not wait for the rest of their delay: the lease may be about to end.
+    """
+    store = RefusingStore()
+    timing = msgspec.structs.replace(TIMING, retry_s=0.05, longest_retry_s=1)
+    registration = Registration(
+        store, RECORD, mirror_of(registered(5)), lambda: 1, Events(), timing
+    )
+    registration.start()
+    # Renewals at 0, 0.05 and 0.15 s; the next one would be at 0.35 s.
+    gevent.sleep(0.22)
+    registration.check(is_away=True)
+    registration.check(is_away=not returns)
+    gevent.sleep(0.03)
+    registration.close()
+    assert store.calls == [('renew', 5)] * renewals
+
+
+def test_a_lease_outlives_refused_renewals():
+    """Guards against a lease that ends between two renewals.
+
+    The last one has to come less than two retries before the end.
+    """
+    timing = RegistrationTiming()
+    tried_s = timing.renew_s
+    delay_s = timing.retry_s
+    tries = 0
+    while tried_s < timing.lease_s:
+        last_s = tried_s
+        tries += 1
+        tried_s += min(delay_s, timing.longest_retry_s)
+        delay_s *= 2
+    assert tries >= 4
+    assert timing.lease_s - last_s < 2 * timing.retry_s
+
+
 def test_a_write_under_a_lease_of_the_lost_history_is_repeated():
     """Guards against a registration that another instance's lease removes."""
 
--- a/siskinproxy/entry/tests/test_sources.py
+++ b/siskinproxy/entry/tests/test_sources.py
@@ -25,7 +25,7 @@
     for name in others:
         directory.register(record(name, 'b'))
     return {
-        name: SourceSelector(record(name), directory, random.Random(1))
+        name: SourceSelector(record(name), directory, random.Random(name))
         for name in names
     }
 
@@ -114,3 +114,98 @@
     assert selector.choose(0.1) == Source(seeds[0])
     selector.note_failed(Source(seeds[0]), 0.2)
     assert selector.choose(0.3) == STORE
+
+
+def run_outage(found, dead=(), served=(), until_s=6.0):
+    """Return the names of the instances that ask the store, one per call.
+
+    Each call takes 0.1 s. The store serves the instances in `served`; other
+    instances answer that they are stale, unless they are in `dead`.
+    """
+    asked = []
+    now_s = 0.0
+    while now_s < until_s:
+        for name, selector in found.items():
+            source = selector.choose(now_s)
+            if source.instance is None:
+                asked.append(name)
+            if source.name in dead or (source == STORE and name not in served):
+                selector.note_failed(source, now_s)
+                continue
+            selector.note_answered(source)
+            if source != STORE:
+                selector.note_stale(source, now_s)
+        now_s += 0.1
+    return asked
+
+
+@pytest.mark.parametrize('size', [30, 120])
+def test_calls_in_an_outage_do_not_grow_with_the_zone(size):
+    """Guards against a store that all instances ask while it is away.
+
+    Each of them sees that its sources are stale and turns to the store, which
+    may refuse calls since there are too many.
+    """
+    found = selectors(*(f'i-{number}' for number in range(size)), others=['j'])
+    asked = run_outage(found)
+    # Three leads ask each second, and all others together as often.
+    assert 3 * 5 <= len(asked) <= 2 * 3 * 8
+    assert len(set(asked)) < 30
+
+
+def test_an_instance_that_alone_is_served_asks_the_store_in_time():
+    """Guards against a zone without changes although the store serves one.
+
+    The store may turn away those that rank first.
+    """
+    found = selectors(*(f'i-{number}' for number in range(10)))
+    ranked = [name for name in found if found[name].is_reader]
+    served = next(name for name in reversed(found) if name not in ranked)
+    asked = run_outage(found, served=[served], until_s=12.0)
+    assert asked.count(served) >= 10
+
+
+def test_failed_instances_are_passed_over():
+    """Guards against a zone whose first instances are dead asking the store.
+
+    All others would ask it until the registrations of the dead ones end.
+    """
+    names = [f'i-{number}' for number in range(30)]
+    found = selectors(*names)
+    dead = set()
+    for _ in range(5):
+        rest = [name for name in names if name not in dead]
+        dead.add(next(n for n in rest if selectors(*rest)[n].is_reader))
+    alive = {name: found[name] for name in names if name not in dead}
+    calls = 0
+    now_s = 0.0
+    for _ in range(30):
+        for selector in alive.values():
+            source = selector.choose(now_s)
+            calls += source == STORE
+            if source.name in dead:
+                selector.note_failed(source, now_s)
+            else:
+                selector.note_answered(source)
+        now_s += 0.1
+    # Two calls by each one while it finds a living source, one by the reader.
+    assert calls <= 2 * len(alive) + 30
+
+
+def test_leads_of_a_zone_that_is_refused_ask_readers_of_other_zones():
+    """Guards against a chain of instances whose answers are stale at its end.
+
+    Each instance that passes changes on adds its wait for changes.
+    """
+    others = [f'j-{number}' for number in range(20)]
+    selector = selectors('i-1', others=others)['i-1']
+    directory = selectors(*others)
+    readers = [name for name in others if directory[name].is_reader]
+    found = set()
+    for _ in range(50):
+        selector.note_failed(STORE, 0)
+        source = selector.choose(0.5)
+        found.add(source.name)
+        assert source.wait_share < 1
+    assert len(found) == 2
+    assert set(readers) < found
