--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -52,6 +52,7 @@
     may_become_unready,
 )
 from siskinproxy.entry.store import PrefixStore
+from siskinproxy.entry.store_calls import StoreCalls
 from siskinproxy.entry.target_selection import Placer
 from siskinproxy.errors import SettingsError
 from siskinproxy.settings_file import read_settings
@@ -102,6 +103,8 @@
         Monotonic time of the start, in seconds.
     record : InstanceRecord
         Registration of this instance.
+    store_calls : StoreCalls
+        Counts of the calls to the store.
     """
 
     def __init__(
@@ -168,6 +171,7 @@
             cfg.listeners.peer_port,
             cfg.instance.link_mbps,
         )
+        self.store_calls = StoreCalls(self.log)
         self.follower = ChangeFollower(
             cfg.instance.name,
             store,
@@ -177,6 +181,7 @@
                 record, self.instances, random.Random(), _seed_instances(cfg)
             ),
             self.log,
+            calls=self.store_calls,
         )
         self._apply_bounds()
         self._peer_server = PeerServer(
@@ -188,6 +193,7 @@
             self.cluster_state.mirror,
             self.instances.__len__,
             self.log,
+            calls=self.store_calls,
         )
         self.record = record
         self._receivers: tuple[InstanceRecord, ...] = ()
@@ -341,7 +347,7 @@
                     'target_changed', target=target.name, change='not_returned'
                 )
             self.cluster_state.expire(now_s)
-            self._registration.check()
+            self._registration.check(is_away=self.follower.is_stale(now_s))
             self._update_fleet(now_s)
             self._run_timer()
 
--- a/siskinproxy/entry/registration.py
+++ b/siskinproxy/entry/registration.py
@@ -25,6 +25,7 @@
 )
 from siskinproxy.entry.mirror import StoreMirror
 from siskinproxy.entry.store import Lease, PrefixStore
+from siskinproxy.entry.store_calls import CallCause, CallKind, StoreCalls
 from siskinproxy.errors import LeaseLostError, StoreError
 
 __all__ = ('Registration', 'RegistrationTiming')
@@ -42,7 +43,11 @@
     renew_s : float
         Time between renewals of the lease.
     retry_s : float
-        Delay after a failed call to the store.
+        Delay after a failed call to the store. It doubles with each further
+        failed renewal.
+    longest_retry_s : float
+        Longest delay after a failed renewal, short enough for a last one just
+        before the lease ends.
     list_wait_s : float
         Longest wait for the first list of the store's items.
     list_check_s : float
@@ -55,6 +60,7 @@
     lease_s: float = 20.0
     renew_s: float = 6.0
     retry_s: float = 1.5
+    longest_retry_s: float = 4.0
     list_wait_s: float = 1.0
     list_check_s: float = 0.02
     spread_s: float = 0.005
@@ -77,6 +83,8 @@
         Where failed calls and a lost lease are reported.
     timing : RegistrationTiming or None
         Lease time and delays; None for the defaults.
+    calls : StoreCalls or None
+        Where calls to the store are counted.
     """
 
     def __init__(
@@ -87,6 +95,7 @@
         fleet_size: Callable[[], int],
         events: Any,
         timing: RegistrationTiming | None = None,
+        calls: StoreCalls | None = None,
     ) -> None:
         self._store = store
         self._record = record
@@ -95,7 +104,11 @@
         self._events = events
         self._key = f'{INSTANCES_PREFIX}{record.name}'
         self._timing = timing or RegistrationTiming()
+        self._calls = calls or StoreCalls(events)
+        self._cause = CallCause.START
         self._lease: Lease | None = None
+        self._failures = 0
+        self._was_away = False
         self._wake = Event()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -109,9 +122,19 @@
             self._greenlet.kill()
             self._greenlet = None
 
-    def check(self) -> None:
-        """Look after the registration at once if the store was restored."""
+    def check(self, *, is_away: bool = False) -> None:
+        """Look after the registration at once if the store was restored.
+
+        Parameters
+        ----------
+        is_away : bool
+            Whether no source has heard from the store lately. When it is back,
+            a renewal that failed is repeated without the rest of its delay.
+        """
         lease = self._lease
+        if self._was_away and not is_away and self._failures:
+            self._wake.set()
+        self._was_away = is_away
         if lease is not None and lease.epoch != self._mirror.epoch:
             self._wake.set()
 
@@ -124,14 +147,29 @@
                 self._register_or_renew()
             except LeaseLostError as exc:
                 self._lease = None
+                self._cause = CallCause.LEASE_LOST
                 self._report_failure('registration_lost', exc)
                 gevent.sleep(0)
             except StoreError as exc:
+                self._cause = CallCause.FAILURE
                 self._report_failure('registration_failed', exc)
-                gevent.sleep(self._timing.retry_s)
+                self._wait_after_failure()
             else:
+                self._cause = CallCause.DUE
+                self._failures = 0
                 self._wake.wait(self._timing.renew_s)
 
+    def _wait_after_failure(self) -> None:
+        timing = self._timing
+        gevent.sleep(timing.retry_s)
+        if self._lease is None:
+            return
+        delay_s = min(
+            timing.retry_s * 2**self._failures, timing.longest_retry_s
+        )
+        self._failures += 1
+        self._wake.wait(max(delay_s - timing.retry_s, 0))
+
     def _wait_for_list(self, epoch: int) -> None:
         """Wait for the first list, of this epoch of the store or a later one."""
         timing = self._timing
@@ -154,14 +192,19 @@
 
     def _register_or_renew(self) -> None:
         if self._lease is not None:
-            epoch = self._store.keep_alive(self._lease.lease_id)
+            epoch = self._renew(self._lease)
             if epoch == self._lease.epoch:
                 return
+            self._cause = CallCause.RESTORED
             self._lease = self._find_restored_lease(epoch)
         if self._lease is None:
             self._lease = self._register()
         else:
-            self._store.keep_alive(self._lease.lease_id)
+            self._renew(self._lease)
+
+    def _renew(self, lease: Lease) -> int:
+        self._calls.note(CallKind.RENEW, self._cause)
+        return self._store.keep_alive(lease.lease_id)
 
     def _find_restored_lease(self, epoch: int) -> Lease | None:
         """Return the lease that holds the registration in a restored store."""
@@ -175,7 +218,9 @@
         return None
 
     def _register(self) -> Lease:
+        self._calls.note(CallKind.GRANT, self._cause)
         lease = self._store.grant_lease(self._timing.lease_s)
+        self._calls.note(CallKind.WRITE, self._cause)
         epoch = self._store.put(
             self._key, encode_instance(self._record), lease.lease_id
         )
