Load the scheduler after the start, and refuse under lasting pressure only

Callers used up their tries in a short recovery, and the modules took processor time before the first packet. Rejections counted as durations, so requests in progress stopped counting too early. In small fleets, whose counts are exact, the mean of a lane refused flows while targets were free.

Change: the engine gets its scheduler half a second after the start; a class is refused early only if its pressure, a moving average of arrivals that find no target, is high; rejections are no durations; the mean of a lane decides only where counts are sampled, and for lending a higher lane; refused openings count as demand. test_scarcity plays its scenarios with these decisions.

--- a/siskinproxy/emulator/engines.py
+++ b/siskinproxy/emulator/engines.py
@@ -25,6 +25,10 @@
 )
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.scheduling.scheduler import (
+    Scheduler,
+    SchedulingOptions,
+)
 from siskinproxy.entry.target_selection import Placer
 
 __all__ = (
@@ -34,10 +38,15 @@
     'NullEventLog',
     'build_configuration',
     'build_engine',
+    'build_scheduling_engine',
     'class_number_of',
     'destination_of',
 )
 
+#: Everything that the settings can ask for.
+ALL_OPTIONS: Final = SchedulingOptions(
+    lanes=True, refuses_early=True, learns_speeds=True
+)
 _IDLE_TIMEOUT_S: Final = 15.0
 _MS_PER_S: Final = 1000
 
@@ -118,6 +127,8 @@
         As `EntryEngine`.
     loads : LoadView
         Number of flows in progress at each target.
+    count_members : callable
+        Returns the number of instances of the zone.
     """
 
     instance: InstanceRecord
@@ -129,6 +140,7 @@
     outbox: Outbox
     events: EventSink
     loads: LoadView
+    count_members: Callable[[], int]
 
 
 EngineFactory = Callable[[EngineParts], EntryEngine]
@@ -149,7 +161,7 @@
     Returns
     -------
     EntryEngine
-        Engine.
+        Engine that makes no decisions under scarcity.
     """
     return EntryEngine(
         parts.codec,
@@ -161,3 +173,36 @@
         parts.events,
         timing,
     )
+
+
+def build_scheduling_engine(
+    parts: EngineParts, options: SchedulingOptions = ALL_OPTIONS
+) -> EntryEngine:
+    """Build the engine of an instance with decisions under scarcity.
+
+    Parameters
+    ----------
+    parts : EngineParts
+        Parts of the engine.
+    options : SchedulingOptions
+        What the settings ask for; all by default.
+
+    Returns
+    -------
+    EntryEngine
+        Engine.
+    """
+    scheduler = Scheduler(
+        parts.directory,
+        parts.routes,
+        options,
+        parts.loads,
+        parts.instance.zone,
+        parts.count_members,
+        parts.events,
+    )
+    if options.learns_speeds:
+        parts.placer.speeds = scheduler.speeds
+    engine = build_engine(parts)
+    engine.attach(scheduler)
+    return engine
--- a/siskinproxy/emulator/instances.py
+++ b/siskinproxy/emulator/instances.py
@@ -183,6 +183,7 @@
                 self,
                 NullEventLog(),
                 self.loads,
+                lambda: sum(each.zone == self.zone for each in self._instances),
             )
         )
 
@@ -276,12 +277,14 @@
         """Return the load report for the other instances, None for none."""
         if self.report_mode is ReportMode.SILENT:
             return None
+        scheduler = self.engine.scheduler
         report = LoadReport(
             self.name,
             self.zone,
             not self.is_ready,
             dict(self.loads.own_flows),
             self.engine.take_ended_hashes(),
+            *(scheduler.report(self._clock.now_s) if scheduler else ()),
         )
         if self.report_mode is ReportMode.ALL_FULL:
             flows = {
@@ -301,6 +304,8 @@
             self.loads.expire(now_s)
             self.loads.update_sample_scale(self.zone, self._instances)
             self.engine.on_ended_hashes(report.ended, now_s)
+            if self.engine.scheduler is not None:
+                self.engine.scheduler.on_report(report, now_s)
             self._run_timer()
 
     def on_evidence(self, report: EvidenceReport) -> None:
--- a/siskinproxy/emulator/tests/test_scarcity.py
+++ b/siskinproxy/emulator/tests/test_scarcity.py
@@ -9,7 +9,7 @@
 import pytest
 
 from siskinproxy.emulator.emulation import Emulation
-from siskinproxy.emulator.engines import build_engine
+from siskinproxy.emulator.engines import build_scheduling_engine
 from siskinproxy.emulator.experience import measure
 from siskinproxy.emulator.policies import POLICIES
 from siskinproxy.emulator.scarcity import (
@@ -20,7 +20,7 @@
 )
 
 #: Builds the engines under test; replaced to try other settings.
-ENGINE_FACTORY = build_engine
+ENGINE_FACTORY = build_scheduling_engine
 SEED = 1
 OBJECTIVE_S = 0.43
 #: Share of late requests on `slow_third` (seed 1) of the code that counts
--- a/siskinproxy/entry/bounds.py
+++ b/siskinproxy/entry/bounds.py
@@ -6,23 +6,22 @@
 
 from typing import Final
 
-from siskinproxy.entry.cold_limit import ColdBounds
+from siskinproxy.entry.cold_limit import ColdBounds, ColdLimit
 from siskinproxy.entry.directory import DirectoryTiming
 from siskinproxy.entry.engine import EngineTiming
 from siskinproxy.entry.follower import FollowerTiming
 from siskinproxy.entry.restored import RestoreTiming
-from siskinproxy.entry.scheduling.scheduler import SchedulingOptions
-from siskinproxy.entry.settings import EntryBounds, EntryLoad
+from siskinproxy.entry.settings import EntryBounds
 
 __all__ = (
     'DEFAULT_TIMING_BOUND_S',
     'MIN_BOUND_S',
     'cold_bounds',
+    'cold_limit',
     'directory_timing',
     'engine_timing',
     'follower_timing',
     'restore_timing',
-    'scheduling_options',
 )
 
 #: Tightest bound on changes that the default `FollowerTiming` keeps, in
@@ -121,6 +120,6 @@
     )
 
 
-def scheduling_options(load: EntryLoad) -> SchedulingOptions:
-    """Return what section ``load`` asks for."""
-    return SchedulingOptions(load.lanes, load.refuse_early, load.learn_speeds)
+def cold_limit(instance: str, bounds: EntryBounds) -> ColdLimit:
+    """Return the limit of an instance on the new flows of cold targets."""
+    return ColdLimit(instance, cold_bounds(bounds))
--- a/siskinproxy/entry/engine.py
+++ b/siskinproxy/entry/engine.py
@@ -10,6 +10,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from siskinproxy.entry.counting import FlowCounter
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
@@ -29,15 +30,17 @@
 from siskinproxy.entry.records import NO_TOKEN
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
-from siskinproxy.entry.scheduling.requests import (
-    FinishedRequest,
-    RequestTracker,
-)
-from siskinproxy.entry.scheduling.scheduler import Scheduler
 from siskinproxy.entry.target_selection import Placer
 from siskinproxy.entry.timing import EngineTiming
 from siskinproxy.entry.waiting_queue import WaitingOpenings
 
+if TYPE_CHECKING:
+    from siskinproxy.entry.scheduling.requests import (
+        FinishedRequest,
+        RequestTracker,
+    )
+    from siskinproxy.entry.scheduling.scheduler import Scheduler
+
 __all__ = ('EngineTiming', 'EntryEngine', 'EventSink', 'Outbox')
 
 
@@ -62,14 +65,13 @@
         Log of decisions.
     timing : EngineTiming
         Timeouts and intervals.
-    scheduler : Scheduler or None
-        Decisions under scarcity; if given, requests are followed on open
-        flows.
     ended : EndedEvidence or None
         Evidence on ended targets; None if their flows are not reset.
 
     Attributes
     ----------
+    scheduler : Scheduler or None
+        Decisions under scarcity, see `attach`.
     counters : Counter
         Number of packets and flows by outcome.
     flows : FlowTable
@@ -93,7 +95,6 @@
         outbox: Outbox,
         events: EventSink,
         timing: EngineTiming | None = None,
-        scheduler: Scheduler | None = None,
         ended: EndedEvidence | None = None,
     ) -> None:
         self.counters: Counter[str] = Counter()
@@ -122,20 +123,32 @@
             self._counter,
             self._reports,
             self._timing,
-            scheduler,
         )
-        self._scheduler = scheduler
-        self._tracker = (
-            None
-            if scheduler is None
-            else RequestTracker(
-                self.flows,
-                self._counter,
-                routes,
-                self.counters,
-                scheduler.on_started,
-                self._on_finished,
-            )
+        self.scheduler: Scheduler | None = None
+        self._tracker: RequestTracker | None = None
+
+    def attach(self, scheduler: 'Scheduler') -> None:
+        """Follow requests from now on, and let a scheduler decide.
+
+        Its modules are loaded here, so that an instance which starts serves
+        callers before that.
+
+        Parameters
+        ----------
+        scheduler : Scheduler
+            Decisions under scarcity.
+        """
+        from siskinproxy.entry.scheduling.requests import RequestTracker
+
+        self.scheduler = scheduler
+        self._opener.scheduler = scheduler
+        self._tracker = RequestTracker(
+            self.flows,
+            self._counter,
+            self._routes,
+            self.counters,
+            scheduler.on_started,
+            self._on_finished,
         )
 
     @property
@@ -300,10 +313,10 @@
     ) -> None:
         if flow is None:
             self.flows.ended_hashes.add(zlib.crc32(key))
-        elif self._scheduler is not None:
+        elif self.scheduler is not None:
             self._counter.uncount(flow)
             if flow.requests:
-                self._scheduler.on_closed(flow)
+                self.scheduler.on_closed(flow)
                 flow.requests = 0
         elif flow.is_counted:
             self._counter.uncount(flow)
@@ -314,11 +327,12 @@
         if self.waiting:
             self.release(now_s)
 
-    def _on_finished(self, request: FinishedRequest, now_s: float) -> None:
+    def _on_finished(self, request: 'FinishedRequest', now_s: float) -> None:
+        if not self.scheduler.on_finished(request, now_s):
+            return
         self._counter.note_duration(request.response_s)
         if request.response_s > request.flow.route.record.objective_s:
             self._reports.slow(request.flow, request.response_s, now_s)
-        self._scheduler.on_finished(request, now_s)
 
     def take_ended_hashes(self) -> tuple[int, ...]:
         """Return and clear the hashes of flows to release at other instances.
--- a/siskinproxy/entry/openings.py
+++ b/siskinproxy/entry/openings.py
@@ -9,7 +9,7 @@
 import math
 import zlib
 from collections import Counter, deque
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from siskinproxy.entry.counting import FlowCounter
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
@@ -19,7 +19,6 @@
 from siskinproxy.entry.packets import PacketCodec, PacketHeader
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import ActiveRoute, RouteTable
-from siskinproxy.entry.scheduling.scheduler import PlacementStep, Scheduler
 from siskinproxy.entry.target_selection import (
     FULL_LOAD,
     Placement,
@@ -29,6 +28,10 @@
 from siskinproxy.entry.timing import EngineTiming
 from siskinproxy.entry.waiting_queue import WaitingOpening, WaitingOpenings
 
+if TYPE_CHECKING:
+    from siskinproxy.entry.scheduling.divisions import PlacementStep
+    from siskinproxy.entry.scheduling.scheduler import Scheduler
+
 __all__ = ('FlowOpener',)
 
 #: Weight of a new sample in the moving average of the time to an answer.
@@ -64,11 +67,11 @@
         Counts and logs what becomes of flows.
     timing : EngineTiming
         Timeouts and intervals.
-    scheduler : Scheduler or None
-        Decisions under scarcity; None if the settings ask for none.
 
     Attributes
     ----------
+    scheduler : Scheduler or None
+        Decisions under scarcity; None if the settings ask for none.
     timing : EngineTiming
         Timeouts and intervals; may be replaced at any time.
     waiting : WaitingOpenings
@@ -91,9 +94,8 @@
         counter: FlowCounter,
         reports: FlowReports,
         timing: EngineTiming,
-        scheduler: Scheduler | None = None,
     ) -> None:
-        self._scheduler = scheduler
+        self.scheduler: Scheduler | None = None
         self._codec = codec
         self._directory = directory
         self._routes = routes
@@ -162,13 +164,14 @@
             self._flows.ended_hashes.add(zlib.crc32(head.flow))
         opening = WaitingOpening(head, packet, route, now_s)
         placement = self._place(route, head.flow, now_s, full_load=FULL_LOAD)
+        if self.scheduler is not None:
+            self.scheduler.waits.note_arrival(
+                self._class_of(opening),
+                now_s,
+                is_blocked=placement.target is None,
+            )
         if placement.target is not None:
             self._open(opening, placement, now_s)
-            if self._scheduler is not None:
-                key = self._class_of(opening)
-                self._scheduler.waits.note_released(
-                    key, now_s, has_waited=False
-                )
         elif placement.reason is PlacementReason.NO_TARGET:
             self.refuse(head, placement.reason.value)
         elif head.flow not in self.waiting:
@@ -181,7 +184,7 @@
         key = self._class_of(opening)
         position = len(self.waiting) + 1
         if self._is_hopeless(opening, key, position, now_s):
-            self.refuse(opening.head, 'no_room')
+            self._refuse_for_room(opening, now_s)
             return
         self.waiting.add(opening)
         self._reports.waits(
@@ -212,12 +215,17 @@
             ahead[key] += 1
             if self._is_hopeless(opening, key, ahead[key], now_s):
                 self.waiting.remove(opening)
-                self.refuse(opening.head, 'no_room')
+                self._refuse_for_room(opening, now_s)
+
+    def _refuse_for_room(self, opening: WaitingOpening, now_s: float) -> None:
+        service = opening.route.service_of(opening.head.flow)
+        self.scheduler.note_refused(opening.route.record, service, now_s)
+        self.refuse(opening.head, 'no_room')
 
     def _class_of(self, opening: WaitingOpening) -> tuple[str, int]:
         """Return what openings that compete for the same targets share."""
         service = opening.route.service_of(opening.head.flow)
-        if self._scheduler is None:
+        if self.scheduler is None:
             return service, 0
         return service, opening.route.record.priority
 
@@ -229,17 +237,11 @@
         now_s: float,
     ) -> bool:
         """Return whether an opening will not find a target in time."""
-        scheduler = self._scheduler
+        scheduler = self.scheduler
         if scheduler is None or not scheduler.refuses_early(key[0]):
             return False
-        scheduler.waits.note_blocked(key, now_s)
-        return scheduler.waits.is_hopeless(
-            key,
-            position,
-            opening.route.record.objective_s,
-            self.waiting.latest_release_s(opening),
-            now_s,
-        )
+        latest_s = self.waiting.latest_in_time_s(opening)
+        return scheduler.waits.is_hopeless(key, position, latest_s, now_s)
 
     def _try_to_open(
         self, opening: WaitingOpening, key: tuple[str, int], now_s: float
@@ -252,8 +254,8 @@
             self.waiting.remove(opening)
             self.wait_times.observe(now_s - opening.arrived_s)
             self._open(opening, placement, now_s)
-            if self._scheduler is not None:
-                self._scheduler.waits.note_released(key, now_s, has_waited=True)
+            if self.scheduler is not None:
+                self.scheduler.waits.note_released(key, now_s)
         return placement.target is not None
 
     def _open(
@@ -398,16 +400,16 @@
         record = self._routes.services.get(service)
         rate_per_s = record.warmup_per_s if record else 0
         candidates = self._directory.usable_targets(service)
-        if self._scheduler is None or tried or not candidates:
+        if self.scheduler is None or tried or not candidates:
             return self._placer.choose(
                 candidates, rate_per_s, now_s, tried, full_load=full_load
             )
-        steps = self._scheduler.steps(route, service, full_load, now_s)
+        steps = self.scheduler.steps(route, service, full_load, now_s)
         return self._place_in_steps(steps, rate_per_s, now_s)
 
     def _place_in_steps(
         self,
-        steps: tuple[PlacementStep, ...],
+        steps: 'tuple[PlacementStep, ...]',
         rate_per_s: float,
         now_s: float,
     ) -> Placement:
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -18,7 +18,6 @@
 from siskinproxy.entry import bounds, startup
 from siskinproxy.entry.audit import AuditTrail
 from siskinproxy.entry.cluster_state import ClusterState, StoreSchema
-from siskinproxy.entry.cold_limit import ColdLimit
 from siskinproxy.entry.directory import TargetDirectory
 from siskinproxy.entry.ended_evidence import EndedEvidence
 from siskinproxy.entry.engine import EntryEngine
@@ -43,7 +42,6 @@
 from siskinproxy.entry.registration import Registration
 from siskinproxy.entry.responsiveness import Responsiveness
 from siskinproxy.entry.routes import RouteTable
-from siskinproxy.entry.scheduling.scheduler import Scheduler
 from siskinproxy.entry.settings import EntrySettings
 from siskinproxy.entry.sources import SourceSelector
 from siskinproxy.entry.status import STATUS_PATH, StatusPage
@@ -69,6 +67,8 @@
 #: Time between two checks of whether a stopping instance may fail its readiness
 #: check, in seconds.
 STOP_CHECK_INTERVAL_S: Final = 0.1
+#: Time from the start until the scheduler is loaded, in seconds.
+SCHEDULING_DELAY_S: Final = 0.5
 #: Time after the start in which callers may still retransmit packets that were
 #: lost while the process was down, in seconds; load reports are frequent in it.
 STARTUP_RETRANSMISSION_S: Final = 2.0
@@ -141,9 +141,7 @@
             zone=cfg.instance.zone,
             directory=self.directory,
         )
-        self._cold_limit = ColdLimit(
-            cfg.instance.name, bounds.cold_bounds(cfg.bounds)
-        )
+        self._cold_limit = bounds.cold_limit(cfg.instance.name, cfg.bounds)
         self.loads = LoadView()
         self.socket = PacketSocket(
             parse_endpoint(cfg.listeners.packet),
@@ -277,7 +275,6 @@
             self.loads,
             random.Random(),
         )
-        self.scheduler = self._build_scheduler()
         ended = None
         if self._cfg.load.reset_ended:
             ended = EndedEvidence(self.responsiveness, time.time)
@@ -290,28 +287,9 @@
             self.responsiveness,
             self.socket,
             self.log,
-            scheduler=self.scheduler,
             ended=ended,
         )
 
-    def _build_scheduler(self) -> Scheduler | None:
-        """Return the scheduler if the settings ask for any part of it."""
-        options = bounds.scheduling_options(self._cfg.load)
-        if not options.is_on:
-            return None
-        scheduler = Scheduler(
-            self.directory,
-            self.routes,
-            options,
-            self.loads,
-            self._cfg.instance.zone,
-            lambda: len(self._zone_members()),
-            self.log,
-        )
-        if options.learns_speeds:
-            self._placer.speeds = scheduler.speeds
-        return scheduler
-
     def _apply_bounds(self) -> None:
         """Derive timing and limits from the settings in force."""
         found = self._cfg.bounds
@@ -336,6 +314,7 @@
             config=self.routes.version,
             routes=len(self.routes),
         )
+        self._start_scheduling()
         now_s = time.monotonic()
         while True:
             due_s = now_s + HOUSEKEEPING_INTERVAL_S
@@ -351,6 +330,30 @@
             self._update_fleet(now_s)
             self._run_timer()
 
+    def _start_scheduling(self) -> None:
+        """Attach the scheduler if the settings ask for any part of it.
+
+        It is loaded once the instance has served its first callers.
+        """
+        load = self._cfg.load
+        if not (load.lanes or load.refuse_early or load.learn_speeds):
+            return
+        gevent.sleep(SCHEDULING_DELAY_S)
+        from siskinproxy.entry.scheduling import setup
+
+        self.engine.attach(
+            setup.build_scheduler(
+                load,
+                self.directory,
+                self.routes,
+                self._placer,
+                self.loads,
+                self.record.zone,
+                lambda: len(self._zone_members()),
+                self.log,
+            )
+        )
+
     def _update_fleet(self, now_s: float) -> None:
         """Update what depends on the set of known instances."""
         self._cold_limit.set_instances(self.instances.possible_senders(now_s))
@@ -367,8 +370,8 @@
             if each.name not in absent
         )
         self.responsiveness.expire()
-        if self.scheduler is not None:
-            self.scheduler.speeds.expire(now_s)
+        if self.engine.scheduler is not None:
+            self.engine.scheduler.speeds.expire(now_s)
 
     def _zone_members(self) -> tuple[InstanceRecord, ...]:
         return self.instances.in_zone(self.record.zone)
@@ -389,9 +392,9 @@
 
     def _learned(self) -> tuple[dict, ...]:
         """Return what load reports say of room, demand and speed."""
-        if self.scheduler is None:
+        if self.engine.scheduler is None:
             return ()
-        return self.scheduler.report(time.monotonic())
+        return self.engine.scheduler.report(time.monotonic())
 
     def _on_report(self, report: LoadReport, now_s: float) -> None:
         """Apply the load report of another instance."""
@@ -401,8 +404,8 @@
             self.loads.apply_report(report, now_s)
         if report.ended:
             self.engine.on_ended_hashes(report.ended, now_s)
-        if self.scheduler is not None:
-            self.scheduler.on_report(report, now_s)
+        if self.engine.scheduler is not None:
+            self.engine.scheduler.on_report(report, now_s)
 
     def _report_addresses(self) -> tuple[Address, ...]:
         """Return the addresses that get load reports.
@@ -416,7 +419,7 @@
             for each in self._receivers
             if is_busy or each.zone == zone
         ]
-        if self.scheduler is not None:
+        if self.engine.scheduler is not None:
             self._reports_sent += 1
             foreign = foreign_receiver(
                 zone, self._registered, self._reports_sent
--- a/siskinproxy/entry/scheduling/scheduler.py
+++ b/siskinproxy/entry/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 from siskinproxy.entry.directory import KnownTarget, TargetDirectory
 from siskinproxy.entry.flows import OpenedFlow
 from siskinproxy.entry.load_view import LoadReport, LoadView
+from siskinproxy.entry.records import RouteRecord
 from siskinproxy.entry.routes import ActiveRoute, RouteTable
 from siskinproxy.entry.scheduling.demand import (
     DemandView,
@@ -43,8 +44,9 @@
 #: others, in requests per slot.
 LANE_LOAD: Final = 1.0
 #: Load up to which a priority uses targets of a higher priority's lane, in
-#: requests per slot.
-LENT_LOAD: Final = 0.5
+#: requests per slot; for a target and on the mean of its lane and zone. The
+#: flows stay there, so the lane must have room to spare.
+LENT_LOAD: Final = 0.3
 #: Age from which on the mean load of the own zone is computed anew, in seconds.
 LOAD_AGE_S: Final = 0.02
 #: Time between two looks at the sizes of the lanes and at the speeds of the
@@ -69,11 +71,6 @@
     refuses_early: bool = False
     learns_speeds: bool = False
 
-    @property
-    def is_on(self) -> bool:
-        """Whether any part needs the scheduler."""
-        return self.lanes or self.refuses_early or self.learns_speeds
-
 
 class Scheduler:
     """Divides targets between priorities, and learns from requests.
@@ -141,13 +138,36 @@
     def on_started(self, flow: OpenedFlow, now_s: float) -> None:
         """Count a request for the demand of its priority."""
         service = flow.target.record.service
-        record = flow.route.record
+        self._note_demand(flow.route.record, service, now_s)
+
+    def note_refused(
+        self, record: RouteRecord, service: str, now_s: float
+    ) -> None:
+        """Count a refused opening for the demand of its priority."""
+        self._note_demand(record, service, now_s)
+
+    def _note_demand(
+        self, record: RouteRecord, service: str, now_s: float
+    ) -> None:
         work_s = self.speeds.usual_response_s(record.name)
         key = demand_key(service, record.priority)
         self.demand.note_request(key, work_s, now_s)
 
-    def on_finished(self, request: FinishedRequest, now_s: float) -> None:
-        """Learn the speed of a target from a response."""
+    def on_finished(self, request: FinishedRequest, now_s: float) -> bool:
+        """Learn from a response; return whether its request was run.
+
+        Parameters
+        ----------
+        request : FinishedRequest
+            Request whose response has begun.
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            False if the target has rejected it.
+        """
         flow = request.flow
         name = flow.route.record.name
         service = flow.target.record.service
@@ -159,14 +179,14 @@
         )
         if is_rejection:
             self.counters['requests_rejected'] += 1
-            return
+            return False
         self.counters['requests_answered'] += 1
         self.demand.note_request(answered_key(service), usual_s, now_s)
-        if request.is_bodiless:
-            return
-        self.speeds.note_response(
-            flow.target.token, name, request.response_s, now_s
-        )
+        if not request.is_bodiless:
+            self.speeds.note_response(
+                flow.target.token, name, request.response_s, now_s
+            )
+        return True
 
     def report(self, now_s: float) -> tuple[dict, dict, dict]:
         """Return what load reports say of room, demand and speed.
@@ -236,16 +256,16 @@
             return (PlacementStep(candidates, full_load),)
         lanes = state.lanes(candidates)
         own = state.lane_of(route.record.priority)
-        load_of = partial(self._mean_load, service, lanes, now_s)
+        mean_load = partial(self._mean_load, service, lanes, now_s)
+        # Exact counts of each target say more than the mean.
+        load_of = mean_load if self._loads.is_sampled else _no_load
         steps = []
         if len(lanes) > 1:
-            own_load = min(LANE_LOAD, full_load)
-            lent_load = min(LENT_LOAD, full_load)
-            others = (*range(own + 1, len(lanes)), *range(own))
-            steps.append(state.step(own, own_load, load_of))
-            for lane in others:
-                load = own_load if lane > own else lent_load
-                steps.append(state.step(lane, load, load_of))
+            lane_load = min(LANE_LOAD, full_load)
+            lower = range(own, len(lanes))
+            steps += [state.step(each, lane_load, load_of) for each in lower]
+            higher = range(own)
+            steps += [state.step(each, LENT_LOAD, mean_load) for each in higher]
         steps.append(state.step(own, full_load, load_of))
         return tuple(step for step in steps if step.targets)
 
@@ -360,3 +380,7 @@
                 name: tuple(sorted(each)) for name, each in found.items()
             }
         return self._priorities.get(service, ())
+
+
+def _no_load(number: int, zone: str) -> None:
+    """Return that the mean load of a lane in a zone is not looked at."""
--- a/siskinproxy/entry/target_selection.py
+++ b/siskinproxy/entry/target_selection.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable, Collection
 from functools import partial
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
@@ -17,7 +17,9 @@
 from siskinproxy.entry.directory import KnownTarget
 from siskinproxy.entry.load_view import LoadView
 from siskinproxy.entry.responsiveness import Responsiveness
-from siskinproxy.entry.scheduling.speeds import TargetSpeeds
+
+if TYPE_CHECKING:
+    from siskinproxy.entry.scheduling.speeds import TargetSpeeds
 
 __all__ = (
     'FULL_LOAD',
@@ -284,7 +286,7 @@
         return load, self._rng.random()
 
     def _expected_time(
-        self, speeds: TargetSpeeds, now_s: float, target: KnownTarget
+        self, speeds: 'TargetSpeeds', now_s: float, target: KnownTarget
     ) -> tuple[float, float]:
         """Return a sort key: time to a response, in usual response times.
 
--- a/siskinproxy/entry/waiting_queue.py
+++ b/siskinproxy/entry/waiting_queue.py
@@ -140,11 +140,10 @@
             ),
         )
 
-    def latest_release_s(self, opening: WaitingOpening) -> float:
-        """Return the time at which an opening is overdue, in seconds."""
-        limits = self._limits
-        patience_s = limits.caller_timeout_s - limits.answer_margin_s
-        return opening.sent_s + patience_s
+    def latest_in_time_s(self, opening: WaitingOpening) -> float:
+        """Return until when an opening can still meet its objective."""
+        objective_s = opening.route.record.objective_s
+        return opening.sent_s + objective_s - self._limits.expected_response_s
 
     def overdue(self, now_s: float) -> Iterator[WaitingOpening]:
         """Yield openings whose answer would arrive after the caller gave up."""
