Do not take a pause of one instance for slow targets

Callers of `make demo` were refused in the step `steady`, at a third of the load that the targets can take (250 requests/s of 40 ms on 28 slots).

The fabric sprays packets, so about half of all flows wait at that instance, and all slots of the owner fill with them. When it goes on they end at once with completion times of up to the pause. No target was in a warm-up, no target refused, the retry budget and the cold limit were not involved, and there was one owner.

Change: in the recent mean and deviation, a completion time counts as at most 2.5 times the median of the last 16 of its listener at that target. The flows that a pause delays are at most as many as there are slots, so they stay a minority; a real slowdown shifts the median after 8 completions.

--- a/siskinproxy/targets/cold_start.py
+++ b/siskinproxy/targets/cold_start.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import statistics
 from collections import deque
 from typing import Final
 
@@ -26,6 +27,14 @@
 BASELINE_WEIGHT: Final = 1 / 64
 #: Weight of a completed request in the recent mean: about the last 8 count.
 RECENT_WEIGHT: Final = 1 / 8
+#: Completed requests of a listener whose median bounds the next completion
+#: time in the recent mean. A network pause delays at most as many requests as
+#: there are slots, so they stay a minority of this number.
+MEDIAN_COMPLETIONS: Final = 16
+#: Completed requests of a listener from which on their median is used.
+MIN_MEDIAN_COMPLETIONS: Final = 3
+#: Upper bound of a completion time in the recent mean, relative to the median.
+MAX_RECENT_FACTOR: Final = 2.5
 
 
 class ColdStartReason(enum.Enum):
@@ -78,7 +87,9 @@
     ----------
     recent_completion_s : float
         Exponentially weighted mean of the completion times, in seconds; 0
-        before the first.
+        before the first. Each counts as at most `MAX_RECENT_FACTOR` times the
+        median of its listener, so that a pause of an instance on the way is
+        not taken for a slow target.
     recent_deviation_s : float
         Exponentially weighted mean of their absolute deviations, in seconds.
     """
@@ -87,6 +98,7 @@
         '_baselines',
         '_consecutive_refusals',
         '_consecutive_resets',
+        '_durations_s',
         '_slowdowns',
         'recent_completion_s',
         'recent_deviation_s',
@@ -94,6 +106,7 @@
 
     def __init__(self) -> None:
         self._baselines: dict[int, _Baseline] = {}
+        self._durations_s: dict[int, deque[float]] = {}
         self._slowdowns: deque[float] = deque(maxlen=SLOWDOWN_SAMPLES)
         self._consecutive_refusals = 0
         self._consecutive_resets = 0
@@ -171,7 +184,7 @@
             self._note_slowdown(duration_s / known_s)
         if warm:
             self._baselines.setdefault(port, _Baseline()).add(duration_s)
-        self._note_recent(duration_s)
+        self._note_recent(self._without_outlier_s(port, duration_s))
 
     def note_abandoned(self, port: int, duration_s: float) -> None:
         """Record a request that its caller gave up.
@@ -218,6 +231,17 @@
     def _note_slowdown(self, slowdown: float) -> None:
         self._slowdowns.append(min(slowdown, MAX_SLOWDOWN))
 
+    def _without_outlier_s(self, port: int, duration_s: float) -> float:
+        """Return a completion time bounded by the median of its listener."""
+        durations_s = self._durations_s.setdefault(
+            port, deque(maxlen=MEDIAN_COMPLETIONS)
+        )
+        durations_s.append(duration_s)
+        if len(durations_s) < MIN_MEDIAN_COMPLETIONS:
+            return duration_s
+        bound_s = MAX_RECENT_FACTOR * statistics.median(durations_s)
+        return min(duration_s, bound_s)
+
     def _note_recent(self, duration_s: float) -> None:
         """Update the weighted mean of the completion times and its deviation.
 
