Open flows although the earlier owner is silent

Cause: a new owner without an entry asks an earlier home about each SYN (LOOKUP) and waits for the answer without a limit.

Change: a LOOKUP expects an acknowledgment as an OPEN does. After 0.2 s of silence the earlier home is suspected, and the SYN is handled again: the next home that has not been suspected is asked, and with none left the flow is opened. Any datagram of the earlier home counts as an answer.

--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -619,7 +619,8 @@
         """Open a flow, unless another instance may have opened it already.
 
         That instance is asked first; its answer arrives at `on_fresh` or
-        `on_replicate`.
+        `on_replicate`. If it stays silent, as one that has exited while the
+        members still name it, the SYN is handled again without it.
         """
         state = self._state
         binding = state.home_binding(key)
@@ -631,6 +632,7 @@
             self._open(key, opening, listener, now_s)
             return
         flags = self._zone_index(opening.ingress_zone)
+        self._failure_detector.expect_acknowledgment(earlier, opening)
         state.send(earlier, DatagramKind.LOOKUP, opening.segment, flags=flags)
 
     def _forward_without_entry(
@@ -670,7 +672,8 @@
         """Return another instance that may have opened the flow.
 
         After a pause of this process it is another home. Otherwise it is a
-        home under an earlier view in which this instance was no home.
+        home under an earlier view in which this instance was no home, and
+        which is not suspected.
         """
         state = self._state
         current = state.homes(service, key)
@@ -683,7 +686,9 @@
                 continue
             for home in homes:
                 peer = state.peers.get(member_id(home.name))
-                if peer is not None and home not in current[:1]:
+                if peer is None or peer.name in state.suspects:
+                    continue
+                if home not in current[:1]:
                     return peer
         return None
 
