Fail the demo if it refuses what the targets can execute

A demo that refused half of its requests ended with exit 0 and no violation.

Change: the demo prints what is offered (125 requests/s at each of 2 listeners) and what the warm targets in service can execute (slots over the mean execution time: 28 slots and 40 ms, 700/s), and each step, from the start of the load to the end of the last request, may refuse nothing while the first is within the second; beyond it only the share that the targets cannot execute. The rest is the violation `needless_refusal`, with exit 1. Targets that drain, whose zone is out of service, or that have just returned cold do not count, so no planned step offers more than half of what the others can do: the bound is 0 in every step.

--- a/siskinproxy/standins/demo.py
+++ b/siskinproxy/standins/demo.py
@@ -4,7 +4,7 @@
 stops an instance, takes a zone out of service and returns it, while callers
 send requests and keep long flows open. Prints a table with the results of each
 step; the last line is one JSON object. Exits with 1 if an invariant was
-violated.
+violated, or if requests were refused although the targets could execute them.
 """
 
 import signal
@@ -32,6 +32,7 @@
 from siskinproxy.standins.deployment import Deployment
 from siskinproxy.standins.summary import (
     Summary,
+    excess_refusals,
     imbalance,
     list_faults,
     summarize,
@@ -45,6 +46,7 @@
 #: Number of instances at the start.
 _INSTANCE_COUNT: Final = 7
 _REQUESTS_PER_S_PER_LISTENER: Final = 125.0
+_MS_PER_S: Final = 1000.0
 #: Mean execution time of a request.
 _WORK_MS: Final = 40.0
 #: Number of long flows that stay open.
@@ -100,7 +102,7 @@
     violations : dict of str to int
         Number of violations by name of the violated invariant.
     imbalance : float
-        Highest over mean busy time of the targets in the first step.
+        Highest over mean busy time of the targets in the step ``steady``.
     """
 
     def __init__(self, deployment: Deployment) -> None:
@@ -118,7 +120,10 @@
         self._print_progress(f'starting {_INSTANCE_COUNT} instances')
         self._deployment.start(_INSTANCE_COUNT)
         self._print_progress('all instances serve the configuration')
+        self._begin_step()
         self._start_loads()
+        self._end_step('start')
+        self._print_load()
         self._begin_step()
         time.sleep(_STEADY_S)
         self.imbalance = self._end_step('steady')
@@ -162,8 +167,56 @@
         ]
         seconds = f'{end_counters["at_s"] - start_counters["at_s"]:.1f}'
         self._rows.append((step, seconds, *counts, f'{ratio:.3f}'))
+        self._check_refusals(
+            step,
+            end_counters['refused'] - start_counters['refused'],
+            end_counters['answered'] - start_counters['answered'],
+        )
         return ratio
 
+    def _check_refusals(self, step: str, refused: int, answered: int) -> None:
+        excess = excess_refusals(
+            refused,
+            refused + answered,
+            self._offered_per_s(),
+            self._capacity_per_s(),
+        )
+        if excess:
+            total = self.violations.get('needless_refusal', 0) + excess
+            self._record_violation('needless_refusal', total, f'step={step!r}')
+
+    def _offered_per_s(self) -> float:
+        services = self._deployment.cfg.services
+        listeners = next(
+            item.listeners for item in services if item.name == _REQUEST_SERVICE
+        )
+        return _REQUESTS_PER_S_PER_LISTENER * len(listeners)
+
+    def _capacity_per_s(self) -> float:
+        """Return the rate of requests that the warm targets can execute.
+
+        Targets that drain, whose zone is out of service, or that returned cold
+        do not count.
+        """
+        deployment = self._deployment
+        zones_out = {
+            zone.name for zone in deployment.cfg.zones if not zone.in_service
+        }
+        slots = sum(
+            target.slots
+            for target in deployment.targets_of(_REQUEST_SERVICE)
+            if not target.draining
+            and target.zone not in zones_out
+            and target.name not in self._abandoned
+        )
+        return slots * _MS_PER_S / _WORK_MS
+
+    def _print_load(self) -> None:
+        self._print_progress(
+            f'callers offer {self._offered_per_s():.0f} requests/s;'
+            f' the targets can execute {self._capacity_per_s():.0f}/s'
+        )
+
     def _read_counters(self) -> dict[str, Any]:
         loads = self._deployment.caller_stats().values()
         counts = {
@@ -321,12 +374,14 @@
 
     def _finish(self) -> None:
         deployment = self._deployment
+        self._begin_step()
         self._print_progress('stopping the callers')
         for name in deployment.caller_stats():
             deployment.command('callers', 'stop_load', name=name)
         wait_until(
             self._callers_are_idle, 'end of all requests', _FINISH_TIMEOUT_S
         )
+        self._end_step('finish')
 
     def _callers_are_idle(self) -> bool:
         loads = self._deployment.caller_stats().values()
--- a/siskinproxy/standins/summary.py
+++ b/siskinproxy/standins/summary.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-__all__ = ('Summary', 'imbalance', 'list_faults', 'summarize')
+__all__ = (
+    'Summary',
+    'excess_refusals',
+    'imbalance',
+    'list_faults',
+    'summarize',
+)
 
 _NO_ABANDONED_TARGETS: Final[Mapping[str, float]] = MappingProxyType({})
 
@@ -105,6 +111,32 @@
     return max(busy_s) * len(busy_s) / total_s if total_s else 1
 
 
+def excess_refusals(
+    refused: int, requests: int, offered_per_s: float, capacity_per_s: float
+) -> int:
+    """Return how many requests were refused without a lack of capacity.
+
+    Parameters
+    ----------
+    refused, requests : int
+        Refused and all requests that ended within a step.
+    offered_per_s : float
+        Requests per second that callers send.
+    capacity_per_s : float
+        Requests per second that the warm targets in service can execute.
+
+    Returns
+    -------
+    int
+        All refused requests if the offered load is within the capacity;
+        otherwise those beyond the share that the targets cannot execute.
+    """
+    if offered_per_s <= capacity_per_s:
+        return refused
+    permitted = requests * (1 - capacity_per_s / offered_per_s)
+    return max(refused - int(permitted), 0)
+
+
 def summarize(
     callers: Mapping[str, Mapping[str, Any]],
     loads: Mapping[str, Mapping[str, Any]],
--- a/siskinproxy/standins/tests/test_summary.py
+++ b/siskinproxy/standins/tests/test_summary.py
@@ -1,6 +1,11 @@
 import pytest
 
-from siskinproxy.standins.summary import imbalance, list_faults, summarize
+from siskinproxy.standins.summary import (
+    excess_refusals,
+    imbalance,
+    list_faults,
+    summarize,
+)
 
 
 def fault(outcome, opened_unix_s=0.0):
@@ -126,3 +131,25 @@
     after = {'t1': {'busy_s': 4.0}, 't2': {'busy_s': 2.0}}
     assert imbalance(before, after, ['t1', 't2']) == 1.5
     assert imbalance(before, before, ['t1', 't2']) == 1
+
+
+@pytest.mark.parametrize(
+    ('refused', 'requests', 'offered_per_s', 'excess'),
+    [
+        (0, 2500, 250.0, 0),
+        (1, 2500, 250.0, 1),
+        (1, 2500, 700.0, 1),
+        (500, 1000, 1400.0, 0),
+        (501, 1000, 1400.0, 1),
+    ],
+    ids=['none', 'one', 'at_capacity', 'overload', 'beyond_overload'],
+)
+def test_refusals_within_the_capacity_are_excess(
+    refused, requests, offered_per_s, excess
+):
+    """Guards against a demo that refuses half of its requests and passes.
+
+    Only the share of the load that the targets cannot execute may be refused.
+    """
+    found = excess_refusals(refused, requests, offered_per_s, 700.0)
+    assert found == excess
