After a pause, open a flow only on an answer

A frozen instance went on with the configuration of before the freeze, got no answer within 0.2 s, and opened a flow at a target of a zone that had been taken out meanwhile.

Change: while an instance recovers from a pause, a LOOKUP expects no acknowledgment, as before.

--- a/siskinproxy/balancer/opening.py
+++ b/siskinproxy/balancer/opening.py
@@ -632,7 +632,10 @@
             self._open(key, opening, listener, now_s)
             return
         flags = self._zone_index(opening.ingress_zone)
-        self._failure_detector.expect_acknowledgment(earlier, opening)
+        if not self._failure_detector.is_recovering_from_pause(now_s):
+            # After a pause the configuration may be outdated, so that only an
+            # answer permits to open the flow.
+            self._failure_detector.expect_acknowledgment(earlier, opening)
         state.send(earlier, DatagramKind.LOOKUP, opening.segment, flags=flags)
 
     def _forward_without_entry(
