Do not count requests that ended elsewhere

Cause: homes are told when a request ends, an instance that is no home is not. i2 stops being a home when its zone leaves and owns the shard again 5 s later.

Change: when an instance stops being a home, it records the open requests of the shard. Their entries still route packets and answer lookups, but hold no slot unless they change or another home confirms them with a copy.

Evidence: test_requests_that_ended_elsewhere_hold_no_slot[ended] counts 20 instead of 0 without the change.

Ruled out: purging the entries, since lookups of new owners need them; counting none of them, since a copy may arrive before the view changes.

Conclusion: not closed beside load; entries of flows in mode `stream` that ended meanwhile are still counted.

--- a/siskinproxy/balancer/engine.py
+++ b/siskinproxy/balancer/engine.py
@@ -519,6 +519,7 @@
             state.suspects.clear()
         if view_changed and earlier is not None:
             self.copier.plan(earlier, view)
+            state.departed_flows.note_view(earlier, view, now_s)
         if view_changed or configuration_changed:
             self.opener.apply(now_s)
 
--- a/siskinproxy/balancer/engine_state.py
+++ b/siskinproxy/balancer/engine_state.py
@@ -4,6 +4,7 @@
 from typing import Final, Protocol
 
 from siskinproxy.balancer.counters import Counters
+from siskinproxy.balancer.departed_flows import DepartedFlows
 from siskinproxy.balancer.invariants import InvariantMonitor
 from siskinproxy.balancer.routes import Route, RouteTable
 from siskinproxy.balancer.settings import Limits
@@ -83,12 +84,15 @@
     streams, requests : RotatingTable
         Entries of flows of which this instance is a home, for listeners in
         mode ``stream`` and ``request``.
+    departed_flows : DepartedFlows
+        Requests that were open when this instance stopped being a home.
     learned : RotatingTable
         Entries of other flows, learned from segments of their targets.
     """
 
     __slots__ = (
         'counters',
+        'departed_flows',
         'generation',
         'identity',
         'last_heard_s',
@@ -133,6 +137,7 @@
         self.zone_contact = ZoneContact(identity.zone, limits.sight_s)
         self.streams = RotatingTable(limits.flow_idle_s)
         self.requests = RotatingTable(REQUEST_IDLE_TIMEOUT_S)
+        self.departed_flows = DepartedFlows(identity.name, self.requests)
         self.monitor = InvariantMonitor(
             self.counters,
             (self.streams, self.requests),
--- a/siskinproxy/balancer/flow_copy.py
+++ b/siskinproxy/balancer/flow_copy.py
@@ -197,6 +197,7 @@
         An entry is ignored if this instance has no route between its listener
         and its target. If the flow has an entry already, it is replaced only
         if the flow is still opening here and established at another target.
+        An entry from before this instance stopped being a home is counted now.
         """
         state = self._state
         route = state.routes.by_target.get(entry.target)
@@ -210,6 +211,8 @@
             binding = route.bindings[flow_state]
             if self._opener.replace_opening(entry.flow_key, binding, now_s):
                 state.counters.adopted += 1
+            elif state.departed_flows.confirm(entry.flow_key):
+                self._opener.restore(entry.flow_key, route, now_s)
             return
         state.store(entry.flow_key, route, flow_state)
         state.counters.adopted += 1
--- a/siskinproxy/balancer/shard_restore.py
+++ b/siskinproxy/balancer/shard_restore.py
@@ -77,6 +77,8 @@
     for key, binding in part.items():
         if binding not in bindings:
             continue
+        if state.departed_flows.is_outdated(key, binding):
+            continue
         route = binding.route
         shard = state.shard(route.listener.service, key)
         admission = admissions.get(shard)
--- a/siskinproxy/balancer/tests/test_shard_restore.py
+++ b/siskinproxy/balancer/tests/test_shard_restore.py
@@ -8,6 +8,7 @@
 from siskinproxy.balancer.settings import Limits
 from siskinproxy.balancer.snapshot import Member, RoutingSnapshot
 from siskinproxy.callers.flow_table import FlowState
+from siskinproxy.instances.tunnel import CopyEntry, encode_entries
 from siskinproxy.measure.decision_cost import RecordingOutbox
 from siskinproxy.measure.flow_samples import SampleFlows
 from siskinproxy.operators.configuration import (
@@ -101,3 +102,38 @@
     }
     assert found == expected_counts(engine, entries)
     assert sum(found.values()) > pairs
+
+
+@pytest.mark.parametrize(
+    ('is_copied', 'counted'), [(False, 0), (True, 20)], ids=['ended', 'open']
+)
+def test_requests_that_ended_elsewhere_hold_no_slot(is_copied, counted):
+    """Guards against a returning owner whose slots are full of ended requests.
+
+    While an instance is no home, nobody tells it which requests end. If its
+    entries counted when it owns the shard again, as after its zone returned to
+    service, all new flows would wait until they expire. A copy from a home that
+    stayed shows that the request is in progress.
+    """
+    cfg = Configuration(
+        'alfold', (Zone('a'),), (make_service(1, 'request', 7),)
+    )
+    flows = SampleFlows(cfg)
+    entries = [flows.entry(number) for number in range(20)]
+    me = Member('i1', 'a', '127.0.0.1', 7400, 7402)
+    leaving = Member('i1', 'a', '127.0.0.1', 7400, 7402, status='leaving')
+    engine = PacketEngine(me, RecordingOutbox(), Limits(), random.Random(1))
+    engine.apply_snapshot(RoutingSnapshot(1, cfg, (me,), SIGHT_S), 0)
+    for entry in entries:
+        route = engine.state.routes.by_target[entry.target]
+        engine.state.store(entry.flow_key, route, FlowState.ESTABLISHED)
+    engine.apply_snapshot(RoutingSnapshot(1, cfg, (leaving,), SIGHT_S), 1)
+    engine.apply_snapshot(RoutingSnapshot(1, cfg, (me,), SIGHT_S), 5)
+    if is_copied:
+        copies = [
+            CopyEntry(entry.flow_key, entry.target, int(FlowState.ESTABLISHED))
+            for entry in entries
+        ]
+        engine.copier.on_copy(encode_entries(copies), 5.1)
+    (admission,) = engine.opener.admissions.values()
+    assert sum(report.in_use for report in admission.report(5.2)) == counted
