--- a/siskinproxy/entry/metrics.py
+++ b/siskinproxy/entry/metrics.py
@@ -199,7 +199,7 @@
         engine = process.engine
         now_s = time.monotonic()
         return {
-            'siskinproxy_entry_events_total': dict(engine.counters),
+            'siskinproxy_entry_events_total': _events(engine),
             'siskinproxy_entry_unsent_datagrams_total': process.socket.unsent,
             'siskinproxy_entry_log_lines_dropped_total': process.log.dropped,
             'siskinproxy_entry_flows': len(engine.flows),
@@ -241,3 +241,10 @@
 def _age_or_infinity(age_s: float | None) -> float:
     """Return the age in seconds, infinity for an unknown one."""
     return math.inf if age_s is None else age_s
+
+
+def _events(engine: Any) -> dict[str, int]:
+    """Return the counters of an engine and of its scheduler, if any."""
+    if engine.scheduler is None:
+        return dict(engine.counters)
+    return {**engine.counters, **engine.scheduler.counters}
