Divide only zones with eight targets or more

Cause: lanes are whole targets. In zones of two or three targets they are far from the needs, and a zone that was too small for lanes beside divided ones was left out of all of them, so its targets got no new flows.

Change: zones with fewer than eight targets are shared by all priorities. A table test has a small zone beside a divided one.

--- a/siskinproxy/entry/scheduling/lanes.py
+++ b/siskinproxy/entry/scheduling/lanes.py
@@ -21,6 +21,9 @@
 #: that need theirs.
 MIN_HEADROOM: Final = 1.3
 MAX_HEADROOM: Final = 2.0
+#: Targets of a zone from which on it is divided. Lanes of whole targets would
+#: be far from the needs in a smaller one.
+MIN_ZONE_TARGETS: Final = 8
 #: Largest part of the targets that all priorities but the last get.
 MAX_RESERVED: Final = 0.8
 #: Change of a lane, in targets, below which it keeps its size. Open flows stay
@@ -107,7 +110,8 @@
     candidates : sequence of KnownTarget
         Usable targets.
     sizes : mapping of str to sequence of int
-        Sizes of the lanes by zone.
+        Sizes of the lanes by zone; all lanes share the targets of a zone that
+        is missing.
 
     Returns
     -------
@@ -120,8 +124,12 @@
     count = max((len(each) for each in sizes.values()), default=0)
     lanes: list[dict[str, _Targets]] = [{} for _ in range(count)]
     for zone, members in by_zone.items():
+        if zone not in sizes:
+            for lane in lanes:
+                lane[zone] = tuple(members)
+            continue
         start = 0
-        for lane, size in zip(lanes, sizes.get(zone, ()), strict=False):
+        for lane, size in zip(lanes, sizes[zone], strict=True):
             if size:
                 lane[zone] = tuple(members[start : start + size])
             start += size
--- a/siskinproxy/entry/scheduling/scheduler.py
+++ b/siskinproxy/entry/scheduling/scheduler.py
@@ -28,7 +28,11 @@
     PlacementStep,
     ServiceDivision,
 )
-from siskinproxy.entry.scheduling.lanes import lane_shares, lane_sizes
+from siskinproxy.entry.scheduling.lanes import (
+    MIN_ZONE_TARGETS,
+    lane_shares,
+    lane_sizes,
+)
 from siskinproxy.entry.scheduling.requests import (
     REJECTION_FRACTION,
     FinishedRequest,
@@ -365,7 +369,7 @@
                 shares, count, state.sizes.get(zone) if is_same else None
             )
             for zone, count in by_zone.items()
-            if count >= len(priorities)
+            if count >= MIN_ZONE_TARGETS
         }
 
     def _priorities_of(self, service: str) -> tuple[int, ...]:
--- a/siskinproxy/entry/scheduling/tests/test_lanes.py
+++ b/siskinproxy/entry/scheduling/tests/test_lanes.py
@@ -69,6 +69,14 @@
     assert split_targets(targets, sizes) == split_targets(targets[::-1], sizes)
 
 
+def test_a_small_zone_is_shared_by_all_lanes():
+    """Guards against targets that get no flows beside zones with lanes."""
+    targets = (*known(9), *known(2, 'b'))
+    lanes = split_targets(targets, {'a': (3, 6)})
+    assert [len(lane['a']) for lane in lanes] == [3, 6]
+    assert [len(lane['b']) for lane in lanes] == [2, 2]
+
+
 @pytest.mark.parametrize(
     ('loads', 'expected'),
     [
