Contain unexpected errors, and start greenlets again that end by one

Operators of similar systems saw machines that ended again and again, or that stopped following the list of targets, after one odd entry. Here an error in one packet dropped the work of its batch, one in an entry or a peer's datagram ended the greenlet that handled it, and nothing noticed: the process stayed ready and placed flows by what it had last learned.

Cause: greenlets were started by gevent.spawn, which prints an error and forgets the greenlet; callbacks of sockets and timers had no boundary.

Change: an error in a packet, datagram, entry, connection or check is logged with its place and ends nothing else. Supervisor starts a greenlet again, with a growing delay; the follower then reads all entries. The log drops lines if its reader is gone, which is no reason to end.

--- a/siskinproxy/emulator/engines.py
+++ b/siskinproxy/emulator/engines.py
@@ -115,6 +115,9 @@
     def event(self, name: str, /, **pairs: Any) -> None:
         """Discard an event."""
 
+    def error(self, name: str, /, **pairs: Any) -> None:
+        """Discard an error."""
+
 
 class EngineParts(msgspec.Struct, frozen=True):
     """What an engine is built from.
--- a/siskinproxy/entry/audit.py
+++ b/siskinproxy/entry/audit.py
@@ -78,6 +78,10 @@
         if key is not None:
             self.keep(name, str(pairs[key]), pairs['source'])
 
+    def error(self, name: str, /, **pairs: Any) -> None:
+        """Pass on an error."""
+        self._events.error(name, **pairs)
+
     def keep(self, change: str, subject: str, source: str = '') -> None:
         """Keep a change whose event has been reported already.
 
--- a/siskinproxy/entry/cluster_state.py
+++ b/siskinproxy/entry/cluster_state.py
@@ -31,6 +31,7 @@
 from siskinproxy.entry.restored import Deadlines, RestoreTiming, grace_s
 from siskinproxy.entry.routes import RouteTable
 from siskinproxy.entry.store import PrefixChanges, StoredItem
+from siskinproxy.entry.supervision import run_isolated
 
 __all__ = ('ClusterState', 'EventSink', 'StoreSchema', 'UnusableEntry')
 
@@ -45,6 +46,9 @@
     def event(self, name: str, /, **pairs: Any) -> None:
         """Report an event with its key-value pairs."""
 
+    def error(self, name: str, /, **pairs: Any) -> None:
+        """Report an error with its key-value pairs."""
+
 
 class StoreSchema(msgspec.Struct, frozen=True):
     """Layout of the platform's store: which keys to follow, how to decode.
@@ -210,7 +214,7 @@
             self._report_epoch(changes, source)
         found = self.mirror.apply(changes)
         for change in found:
-            self._apply_change(change, now_s, origin)
+            self._apply_isolated(change, now_s, origin)
         if is_restored:
             self._set_deadlines(now_s)
         return len(found)
@@ -229,12 +233,25 @@
         for key in self._returned.take_due(now_s):
             if key in self.mirror.held:
                 change = self.mirror.release(key)
-                self._apply_change(change, now_s, origin)
+                self._apply_isolated(change, now_s, origin)
 
     def _is_restored(self, changes: PrefixChanges) -> bool:
         """Return whether an answer is of a later epoch than the known items."""
         return changes.epoch > self.mirror.epoch and self.mirror.revision > 0
 
+    def _apply_isolated(
+        self, change: ItemChange, now_s: float, origin: _Origin
+    ) -> None:
+        """Apply a change; an entry that can't be applied is not in use."""
+        key = change.key
+        if not run_isolated(
+            self._events, key, self._apply_change, change, now_s, origin
+        ):
+            run_isolated(
+                self._events, key, self._remove_record, key, now_s, origin
+            )
+            self._records[key] = UnusableRecord('entry could not be applied')
+
     def _apply_change(
         self, change: ItemChange, now_s: float, origin: _Origin
     ) -> None:
--- a/siskinproxy/entry/event_log.py
+++ b/siskinproxy/entry/event_log.py
@@ -16,6 +16,7 @@
 import gevent
 from gevent import os as gevent_os
 
+from siskinproxy.entry.supervision import Spawn, spawn_plain
 from siskinproxy.log_lines import TIME_FORMAT, format_pairs
 
 __all__ = ('BoundedLog',)
@@ -70,10 +71,10 @@
         self._counts: Counter[str] = Counter()
         self._greenlet: gevent.Greenlet | None = None
 
-    def start(self) -> None:
+    def start(self, spawn: Spawn = spawn_plain) -> None:
         """Write buffered lines regularly in a greenlet."""
         gevent_os.make_nonblocking(self._descriptor)
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = spawn('log', self._run)
 
     def close(self) -> None:
         """Stop, and write buffered lines for at most `FLUSH_INTERVAL_S`."""
@@ -104,14 +105,24 @@
         self._log('error', name, pairs)
 
     def flush(self) -> None:
-        """Write the buffered lines without blocking other greenlets."""
+        """Write the buffered lines without blocking other greenlets.
+
+        If the reader of the log is gone, the lines are dropped.
+        """
         while self._buffer:
+            count = len(self._buffer)
             lines = '\n'.join(self._buffer)
             self._buffer.clear()
-            unwritten = f'{lines}\n'.encode()
-            while unwritten:
-                written = gevent_os.nb_write(self._descriptor, unwritten)
-                unwritten = unwritten[written:]
+            try:
+                self._write(f'{lines}\n'.encode())
+            except OSError:
+                # There is nowhere left to report it but the counter.
+                self.dropped += count
+
+    def _write(self, unwritten: bytes) -> None:
+        while unwritten:
+            written = gevent_os.nb_write(self._descriptor, unwritten)
+            unwritten = unwritten[written:]
 
     def _run(self) -> None:
         while True:
--- a/siskinproxy/entry/failure_detector.py
+++ b/siskinproxy/entry/failure_detector.py
@@ -20,6 +20,7 @@
     SuspicionChange,
 )
 from siskinproxy.entry.routes import RouteTable
+from siskinproxy.entry.supervision import Spawn, run_isolated, spawn_plain
 from siskinproxy.entry.target_check import check_target
 
 __all__ = ('EventSink', 'FailureDetector')
@@ -46,6 +47,9 @@
     def event(self, name: str, /, **pairs: Any) -> None:
         """Log a decision under a name, with its key-value pairs."""
 
+    def error(self, name: str, /, **pairs: Any) -> None:
+        """Log an error under a name, with its key-value pairs."""
+
 
 class _Allowance:
     """Token bucket; the balance may become negative by one use.
@@ -123,9 +127,9 @@
             MAX_EVIDENCE_BYTES_PER_S, MAX_EVIDENCE_BURST_BYTES
         )
 
-    def start(self) -> None:
+    def start(self, spawn: Spawn = spawn_plain) -> None:
         """Begin to check and to send."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = spawn('failure_detector', self._run)
 
     def close(self) -> None:
         """Stop; checks in progress are given up."""
@@ -187,7 +191,13 @@
             return
         for target in self._responsiveness.take_due_checks(now_s, int(most)):
             self._checks.use(1)
-            greenlet = gevent.spawn(self._run_check, target)
+            greenlet = gevent.spawn(
+                run_isolated,
+                self._events,
+                f'check_of_{target.name}',
+                self._run_check,
+                target,
+            )
             self._running.add(greenlet)
             greenlet.link(self._running.discard)
 
--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -23,6 +23,7 @@
 from siskinproxy.entry.sources import Source, SourceSelector
 from siskinproxy.entry.store import PrefixChanges, PrefixStore
 from siskinproxy.entry.store_calls import CallCause, CallKind, StoreCalls
+from siskinproxy.entry.supervision import Spawn, spawn_plain
 from siskinproxy.errors import (
     LinkFormatError,
     StoreError,
@@ -143,9 +144,9 @@
         self._source: Source | None = None
         self._greenlet: gevent.Greenlet | None = None
 
-    def start(self) -> None:
+    def start(self, spawn: Spawn = spawn_plain) -> None:
         """Start to follow the store in a greenlet."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = spawn('follower', self._run)
 
     def close(self) -> None:
         """Stop following and close the connections to other instances."""
@@ -229,6 +230,8 @@
         return self._last_packed[1]
 
     def _run(self) -> None:
+        # An error may have left an answer half applied.
+        self._needs_full_read = True
         while True:
             source = self._selector.choose(self._clock())
             try:
--- a/siskinproxy/entry/http_server.py
+++ b/siskinproxy/entry/http_server.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.supervision import Spawn, run_isolated, spawn_plain
 from siskinproxy.entry.tcp import accept_connections, listen
 
 __all__ = ('ServerResponse', 'SmallHttpServer')
@@ -100,10 +101,11 @@
         """TCP port that the started server listens on."""
         return int(self._listener.getsockname()[1])
 
-    def start(self) -> None:
+    def start(self, spawn: Spawn = spawn_plain) -> None:
         """Listen, and serve each connection in its own greenlet."""
         self._listener = listen(self._address, _BACKLOG)
-        self._greenlet = gevent.spawn(self._accept)
+        name = f'http_server_{self._address.port}'
+        self._greenlet = spawn(name, self._accept)
 
     def close(self) -> None:
         """Stop listening; open connections are served until they end."""
@@ -116,7 +118,13 @@
 
     def _accept(self) -> None:
         for conn in accept_connections(self._listener, self._events):
-            gevent.spawn(self._serve, conn)
+            gevent.spawn(
+                run_isolated,
+                self._events,
+                'http_connection',
+                self._serve,
+                conn,
+            )
 
     def _serve(self, conn: socket.socket) -> None:
         requests = _RequestCallbacks()
--- a/siskinproxy/entry/load_exchange.py
+++ b/siskinproxy/entry/load_exchange.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 import gevent
 import msgspec
@@ -13,6 +13,7 @@
 from siskinproxy.entry.evidence import DATAGRAM_PREFIX
 from siskinproxy.entry.load_view import LoadReport, decode_report
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.supervision import Spawn, run_isolated, spawn_plain
 
 __all__ = ('LoadExchange',)
 
@@ -51,6 +52,8 @@
         the current time in seconds; returns whether it could be decoded.
     clock : callable
         Returns the current time in seconds.
+    events : EventSink
+        Log of datagrams whose handling fails.
 
     Attributes
     ----------
@@ -69,6 +72,7 @@
         on_report: Callable[[LoadReport, float], None],
         on_evidence: Callable[[bytes, float], bool],
         clock: Callable[[], float],
+        events: Any,
     ) -> None:
         self.malformed = 0
         self.unsent = 0
@@ -79,18 +83,19 @@
         self._on_report = on_report
         self._on_evidence = on_evidence
         self._clock = clock
+        self._events = events
         self._socket: socket.socket | None = None
         self._watcher = None
         self._greenlet: gevent.Greenlet | None = None
 
-    def start(self) -> None:
+    def start(self, spawn: Spawn = spawn_plain) -> None:
         """Bind the socket, and begin to receive and send reports."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(self._address)
         loop = gevent.get_hub().loop
         self._watcher = loop.io(self._socket.fileno(), 1)
         self._watcher.start(self._on_readable)
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = spawn('load_exchange', self._run)
 
     def close(self) -> None:
         """Stop sending and receiving, and close the socket."""
@@ -141,14 +146,17 @@
             except OSError:
                 # ICMP error: no process listens at the address of a receiver.
                 continue
-            if not self._apply(datagram, now_s):
-                self.malformed += 1
+            run_isolated(
+                self._events, 'peer_datagram', self._apply, datagram, now_s
+            )
 
-    def _apply(self, datagram: bytes, now_s: float) -> bool:
+    def _apply(self, datagram: bytes, now_s: float) -> None:
         if datagram.startswith(DATAGRAM_PREFIX):
-            return self._on_evidence(datagram, now_s)
+            if not self._on_evidence(datagram, now_s):
+                self.malformed += 1
+            return
         report = decode_report(datagram)
         if report is None:
-            return False
-        self._on_report(report, now_s)
-        return True
+            self.malformed += 1
+        else:
+            self._on_report(report, now_s)
--- a/siskinproxy/entry/metrics.py
+++ b/siskinproxy/entry/metrics.py
@@ -62,6 +62,13 @@
         'counter',
         'Packets that the kernel did not take.',
     ),
+    MetricDescription(
+        'siskinproxy_entry_unexpected_errors_total',
+        'counter',
+        'Errors that no code expects, by what failed: a packet, or a greenlet '
+        'that was started again.',
+        ('subject',),
+    ),
     MetricDescription(
         'siskinproxy_entry_log_lines_dropped_total',
         'counter',
@@ -201,6 +208,10 @@
         return {
             'siskinproxy_entry_events_total': _events(engine),
             'siskinproxy_entry_unsent_datagrams_total': process.socket.unsent,
+            'siskinproxy_entry_unexpected_errors_total': {
+                'packet': process.socket.failed,
+                'greenlet': process.supervisor.restarts,
+            },
             'siskinproxy_entry_log_lines_dropped_total': process.log.dropped,
             'siskinproxy_entry_flows': len(engine.flows),
             'siskinproxy_entry_waiting_openings': len(engine.waiting),
--- a/siskinproxy/entry/packet_socket.py
+++ b/siskinproxy/entry/packet_socket.py
@@ -1,12 +1,13 @@
 """UDP socket for packets from the fabric, to targets and to callers."""
 
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 import gevent
 from gevent import socket
 
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.supervision import run_isolated
 
 __all__ = ('PacketSocket',)
 
@@ -31,11 +32,15 @@
     on_batch : callable
         Called after each batch of datagrams that was read when the socket
         became readable; `drain` does not call it.
+    events : EventSink
+        Log of packets whose handling fails.
 
     Attributes
     ----------
     unsent : int
         Datagrams that the kernel did not accept for sending.
+    failed : int
+        Received datagrams whose handling raised an error.
     """
 
     def __init__(
@@ -43,11 +48,14 @@
         address: Address,
         on_packet: Callable[[bytes], None],
         on_batch: Callable[[], None],
+        events: Any,
     ) -> None:
         self.unsent = 0
+        self.failed = 0
         self._address = address
         self._on_packet = on_packet
         self._on_batch = on_batch
+        self._events = events
         self._socket: socket.socket | None = None
         self._watcher = None
 
@@ -96,8 +104,11 @@
             except OSError:
                 # A target's host reported that no process listens on the port.
                 continue
-            self._on_packet(packet)
+            if not run_isolated(
+                self._events, 'packet', self._on_packet, packet
+            ):
+                self.failed += 1
 
     def _on_readable(self) -> None:
         self.drain()
-        self._on_batch()
+        run_isolated(self._events, 'packet_batch', self._on_batch)
--- a/siskinproxy/entry/peer_link.py
+++ b/siskinproxy/entry/peer_link.py
@@ -19,6 +19,7 @@
     encode_frame,
 )
 from siskinproxy.entry.records import Address
+from siskinproxy.entry.supervision import Spawn, run_isolated, spawn_plain
 from siskinproxy.entry.tcp import (
     accept_connections,
     connect,
@@ -114,32 +115,39 @@
         self._events = events
         self._listener: socket.socket | None = None
         self._greenlets: set[gevent.Greenlet] = set()
+        self._accepting: gevent.Greenlet | None = None
 
     @property
     def port(self) -> int:
         """TCP port on which the server listens."""
         return int(self._listener.getsockname()[1])
 
-    def start(self) -> None:
+    def start(self, spawn: Spawn = spawn_plain) -> None:
         """Listen, and answer each connection in a greenlet of its own."""
         self._listener = listen(self._address, _BACKLOG)
-        self._spawn(self._accept_connections)
+        self._accepting = spawn('peer_server', self._accept_connections)
 
     def close(self) -> None:
         """Close all connections and stop listening."""
+        if self._accepting is not None:
+            self._accepting.kill()
+            self._accepting = None
         gevent.killall(tuple(self._greenlets))
         if self._listener is not None:
             self._listener.close()
             self._listener = None
 
-    def _spawn(self, function: Callable[..., None], *args: Any) -> None:
-        greenlet = gevent.spawn(function, *args)
-        self._greenlets.add(greenlet)
-        greenlet.link(self._greenlets.discard)
-
     def _accept_connections(self) -> None:
         for conn in accept_connections(self._listener, self._events):
-            self._spawn(self._serve_connection, conn)
+            greenlet = gevent.spawn(
+                run_isolated,
+                self._events,
+                'peer_connection',
+                self._serve_connection,
+                conn,
+            )
+            self._greenlets.add(greenlet)
+            greenlet.link(self._greenlets.discard)
 
     def _serve_connection(self, conn: socket.socket) -> None:
         with conn:
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -12,7 +12,6 @@
 from typing import Final
 
 import gevent
-import msgspec
 from gevent.event import Event
 
 from siskinproxy.entry import bounds, startup
@@ -51,6 +50,7 @@
 )
 from siskinproxy.entry.store import PrefixStore
 from siskinproxy.entry.store_calls import StoreCalls
+from siskinproxy.entry.supervision import Supervisor
 from siskinproxy.entry.target_selection import Placer
 from siskinproxy.errors import SettingsError
 from siskinproxy.settings_file import read_settings
@@ -72,6 +72,8 @@
 #: Time after the start in which callers may still retransmit packets that were
 #: lost while the process was down, in seconds; load reports are frequent in it.
 STARTUP_RETRANSMISSION_S: Final = 2.0
+#: Time until the engine's timer runs again after an error in it, in seconds.
+TIMER_RETRY_S: Final = 0.1
 
 
 class EntryProcess:
@@ -105,6 +107,8 @@
         Registration of this instance.
     store_calls : StoreCalls
         Counts of the calls to the store.
+    supervisor : Supervisor
+        Starts the greenlets, again after an error.
     """
 
     def __init__(
@@ -125,6 +129,7 @@
         self.log = BoundedLog(
             'entry', sys.stdout.fileno(), instance=cfg.instance.name
         )
+        self.supervisor = Supervisor(self.log, self._give_up)
         self.directory = TargetDirectory()
         self.routes = RouteTable()
         self.instances = InstanceDirectory()
@@ -147,6 +152,7 @@
             parse_endpoint(cfg.listeners.packet),
             self._on_packet,
             self._on_batch,
+            self.log,
         )
         self.engine = self._build_engine(codec)
         self._timer = gevent.get_hub().loop.timer(0)
@@ -205,6 +211,7 @@
             self._on_report,
             self._on_evidence,
             time.monotonic,
+            self.log,
         )
         self._detector = FailureDetector(
             self.responsiveness,
@@ -217,6 +224,7 @@
         )
         self._greenlets: list[gevent.Greenlet] = []
         self._timer_due_s: float | None = None
+        self._is_serving = False
         self._is_stop_requested = False
 
     def start(self) -> None:
@@ -224,11 +232,12 @@
 
         The kernel buffers packets until a configuration has been received.
         """
-        self.log.start()
+        spawn = self.supervisor.spawn
+        self.log.start(spawn)
         self.log.event('process_started', settings=self._path)
         self.socket.open()
         for server in (self._readiness_server, self._metrics_server):
-            server.start()
+            server.start(spawn)
         for part in (
             self.follower,
             self._peer_server,
@@ -236,16 +245,23 @@
             self._exchange,
             self._detector,
         ):
-            part.start()
-        self._greenlets.append(gevent.spawn(self._run_housekeeping))
+            part.start(spawn)
+        self._greenlets.append(spawn('housekeeping', self._run_housekeeping))
         startup.finish()
         startup.replace_signal_handlers(
             self._on_stop_signal, self._on_reload_signal
         )
 
     def wait(self) -> None:
-        """Block until a graceful stop is complete."""
+        """Block until a graceful stop is complete.
+
+        Raises
+        ------
+        GreenletFailedError
+            The process ends because a greenlet kept failing.
+        """
         self._stopped.wait()
+        self.supervisor.raise_failure()
 
     def close(self) -> None:
         """Stop the greenlets and servers; close sockets, store and log."""
@@ -303,17 +319,8 @@
         """Become ready with the first configuration; then do periodic work."""
         while not self.cluster_state.has_configuration:
             gevent.sleep(0.01)
-        self._update_fleet(time.monotonic())
-        self.socket.start()
-        if self.readiness is Readiness.STARTING:
-            # A stop that was requested during the start stays in force.
-            self.readiness = Readiness.READY
-        self.log.event(
-            'process_ready',
-            after_ms=round(1000 * (time.monotonic() - self.started_s)),
-            config=self.routes.version,
-            routes=len(self.routes),
-        )
+        if not self._is_serving:
+            self._begin_to_serve()
         self._start_scheduling()
         now_s = time.monotonic()
         while True:
@@ -330,13 +337,29 @@
             self._update_fleet(now_s)
             self._run_timer()
 
+    def _begin_to_serve(self) -> None:
+        """Read packets, and pass the readiness check from now on."""
+        self._update_fleet(time.monotonic())
+        self.socket.start()
+        if self.readiness is Readiness.STARTING:
+            # A stop that was requested during the start stays in force.
+            self.readiness = Readiness.READY
+        self.log.event(
+            'process_ready',
+            after_ms=round(1000 * (time.monotonic() - self.started_s)),
+            config=self.routes.version,
+            routes=len(self.routes),
+        )
+        self._is_serving = True
+
     def _start_scheduling(self) -> None:
         """Attach the scheduler if the settings ask for any part of it.
 
         It is loaded once the instance has served its first callers.
         """
         load = self._cfg.load
-        if not (load.lanes or load.refuse_early or load.learn_speeds):
+        is_wanted = load.lanes or load.refuse_early or load.learn_speeds
+        if self.engine.scheduler is not None or not is_wanted:
             return
         gevent.sleep(SCHEDULING_DELAY_S)
         from siskinproxy.entry.scheduling import setup
@@ -458,8 +481,15 @@
     def _run_timer(self) -> None:
         """Run the work of the engine that is due, and set its next timer."""
         now_s = time.monotonic()
-        due_s = self.engine.on_timer(now_s)
+        try:
+            due_s = self.engine.on_timer(now_s)
+        except Exception:
+            self._set_timer(now_s + TIMER_RETRY_S, now_s)
+            raise
+        self._set_timer(due_s, now_s)
         self._detector.wake()
+
+    def _set_timer(self, due_s: float | None, now_s: float) -> None:
         self._timer_due_s = due_s
         self._timer.stop()
         if due_s is not None:
@@ -471,7 +501,22 @@
         # Answers of targets may wait in the receive buffer; unless they are
         # read first, the engine would count them as missing.
         self.socket.drain()
-        self._run_timer()
+        self.supervisor.isolate('timer', self._run_timer)
+
+    def _give_up(self, greenlet: str) -> None:
+        """End the process, since a greenlet that it needs keeps failing.
+
+        The readiness check fails first, so that the fabric delivers packets to
+        other instances.
+        """
+        self.log.error('process_given_up', greenlet=greenlet)
+        self.readiness = Readiness.STOPPING
+        self._greenlets.append(gevent.spawn(self._end))
+
+    def _end(self) -> None:
+        """End the process once the fabric has stopped delivering packets."""
+        gevent.sleep(FORWARD_AFTER_UNREADY_S)
+        self._stopped.set()
 
     def _on_stop_signal(self) -> None:
         if self._is_stop_requested:
@@ -505,8 +550,7 @@
             waited_ms=round(1000 * (time.monotonic() - requested_s)),
             absent=','.join(absent),
         )
-        gevent.sleep(FORWARD_AFTER_UNREADY_S)
-        self._stopped.set()
+        self._end()
 
     def _on_reload_signal(self) -> None:
         """Read the settings file again; keep the settings if it is invalid."""
@@ -516,24 +560,13 @@
             self.log.error('settings_rejected', reason=str(exc))
             self.audit.keep('settings_rejected', str(exc))
             return
-        unapplied = _sections_needing_restart(self._cfg, new_cfg)
-        self._cfg = msgspec.structs.replace(self._cfg, bounds=new_cfg.bounds)
+        sections = ','.join(self._cfg.sections_needing_restart(new_cfg))
+        self._cfg = self._cfg.with_bounds_of(new_cfg)
         self._apply_bounds()
-        sections = ','.join(unapplied)
         self.log.event('settings_reloaded', need_restart=sections)
         self.audit.keep('settings_reloaded', sections)
 
 
-def _sections_needing_restart(
-    old: EntrySettings, new: EntrySettings
-) -> list[str]:
-    """Return the changed sections that apply only after a restart."""
-    sections = ('instance', 'listeners', 'store', 'load')
-    return [
-        name for name in sections if getattr(old, name) != getattr(new, name)
-    ]
-
-
 def _seed_instances(cfg: EntrySettings) -> tuple[InstanceRecord, ...]:
     """Return the seeds of the settings as records with the common peer port."""
     return tuple(
--- a/siskinproxy/entry/registration.py
+++ b/siskinproxy/entry/registration.py
@@ -26,6 +26,7 @@
 from siskinproxy.entry.mirror import StoreMirror
 from siskinproxy.entry.store import Lease, PrefixStore
 from siskinproxy.entry.store_calls import CallCause, CallKind, StoreCalls
+from siskinproxy.entry.supervision import Spawn, spawn_plain
 from siskinproxy.errors import LeaseLostError, StoreError
 
 __all__ = ('Registration', 'RegistrationTiming')
@@ -112,9 +113,9 @@
         self._wake = Event()
         self._greenlet: gevent.Greenlet | None = None
 
-    def start(self) -> None:
+    def start(self, spawn: Spawn = spawn_plain) -> None:
         """Start to register and to renew the lease in a greenlet."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = spawn('registration', self._run)
 
     def close(self) -> None:
         """Stop renewing the lease; the registration expires with it."""
--- a/siskinproxy/entry/settings.py
+++ b/siskinproxy/entry/settings.py
@@ -156,3 +156,16 @@
     load: Annotated[
         EntryLoad, describe_key('decisions if there is not enough room')
     ] = EntryLoad()
+
+    def sections_needing_restart(self, new: 'EntrySettings') -> list[str]:
+        """Return the changed sections that apply only after a restart."""
+        sections = ('instance', 'listeners', 'store', 'load')
+        return [
+            name
+            for name in sections
+            if getattr(self, name) != getattr(new, name)
+        ]
+
+    def with_bounds_of(self, new: 'EntrySettings') -> 'EntrySettings':
+        """Return these settings with section ``bounds`` of others."""
+        return msgspec.structs.replace(self, bounds=new.bounds)
--- a/siskinproxy/entry/tests/test_process.py
+++ b/siskinproxy/entry/tests/test_process.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 
+from siskinproxy.errors import EXIT_GREENLET_FAILED
 from siskinproxy.platform.entry_main import SETTINGS_VARIABLE
 from siskinproxy.soak.run import SETTINGS_TEMPLATE
 
@@ -41,16 +42,21 @@
 
 
 class RunningProcess:
-    """An entry process in a subprocess, with its log in a file."""
+    """An entry process in a subprocess, with its log in a file.
 
-    def __init__(self, folder):
+    `arguments` are those of the interpreter.
+    """
+
+    def __init__(
+        self, folder, arguments=('-m', 'siskinproxy.platform.entry_main')
+    ):
         self.path = folder / 'settings.toml'
         self.log = folder / 'log'
         write_settings(self.path)
         environment = os.environ | {SETTINGS_VARIABLE: str(self.path)}
         with self.log.open('wb') as log:
             self.popen = subprocess.Popen(
-                [sys.executable, '-m', 'siskinproxy.platform.entry_main'],
+                [sys.executable, *arguments],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -111,6 +117,56 @@
     assert 'event=process_stopped' in running.log.read_text()
 
 
+#: Program in which the first calls of the follower fail.
+FAILING_FOLLOWER = """
+from siskinproxy.entry.follower import ChangeFollower
+from siskinproxy.platform.entry_main import main
+
+ask = ChangeFollower._ask
+failures = iter(range({failures}))
+
+
+def fail_first(follower, source):
+    for _ in failures:
+        raise OverflowError('too large')
+    ask(follower, source)
+
+
+ChangeFollower._ask = fail_first
+main()
+"""
+
+
+def run_failing(folder, failures):
+    code = FAILING_FOLLOWER.format(failures=failures)
+    return RunningProcess(folder, ['-c', code])
+
+
+def test_a_follower_that_failed_is_started_again(tmp_path):
+    """Guards against a process that follows nothing after one error.
+
+    It once stayed ready, and its greenlet ended.
+    """
+    running = run_failing(tmp_path, 3)
+    try:
+        line = running.wait_for('event=greenlet_failed')
+        assert 'subject=follower kind=OverflowError' in line
+        # The next call gets to the store, at whose port nobody listens.
+        running.wait_for('event=source_lost')
+        assert running.popen.poll() is None
+    finally:
+        running.popen.kill()
+        running.popen.wait(TIMEOUT_S)
+
+
+def test_a_process_whose_follower_keeps_failing_ends(tmp_path):
+    """Guards against a process that stays ready but can follow nothing."""
+    running = run_failing(tmp_path, 1000)
+    assert running.popen.wait(TIMEOUT_S) == EXIT_GREENLET_FAILED
+    assert 'greenlet=follower' in running.wait_for('event=process_given_up')
+    running.wait_for('event=process_stopped')
+
+
 def start_program(folder, environment=()):
     path = folder / 'settings.toml'
     write_settings(path)
--- a/siskinproxy/errors.py
+++ b/siskinproxy/errors.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 __all__ = (
+    'EXIT_GREENLET_FAILED',
     'EXIT_SETTINGS',
     'AddressReuseError',
     'AdminAccessError',
@@ -21,12 +22,14 @@
     'DuplicateNameError',
     'EmptyServiceError',
     'GossipFormatError',
+    'GreenletFailedError',
     'InvalidAddressError',
     'InvalidNameError',
     'InvariantViolation',
     'LeaseLostError',
     'LinkFormatError',
     'ListenerReuseError',
+    'ResponseTooLargeError',
     'SectionDigestError',
     'SegmentFormatError',
     'SettingsError',
@@ -54,6 +57,8 @@
 
 #: Exit code of a process whose settings are wrong.
 EXIT_SETTINGS: Final = 2
+#: Exit code of a process that gave itself up, since it could no longer work.
+EXIT_GREENLET_FAILED: Final = 3
 
 
 class SiskinproxyError(Exception):
@@ -426,6 +431,20 @@
     """A frame between control and packet process is malformed or too long."""
 
 
+class GreenletFailedError(SiskinproxyError):
+    """A greenlet that a process can't do without keeps failing.
+
+    Parameters
+    ----------
+    greenlet : str
+        Name of the greenlet.
+    """
+
+    def __init__(self, greenlet: str) -> None:
+        super().__init__(f'greenlet={greenlet}')
+        self.greenlet = greenlet
+
+
 class CapacityDataError(SiskinproxyError):
     """There are too few measurements, or the capacity page lacks a marker."""
 
@@ -458,6 +477,20 @@
     """
 
 
+class ResponseTooLargeError(StoreUnavailableError):
+    """A response has more bytes than the caller accepts.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Largest accepted size, in bytes.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(f'limit_bytes={limit_bytes}')
+        self.limit_bytes = limit_bytes
+
+
 class StoreRateLimitError(StoreError):
     """The store rejected the call because its rate limit is exceeded."""
 
--- a/siskinproxy/platform/entry_program.py
+++ b/siskinproxy/platform/entry_program.py
@@ -1,11 +1,13 @@
 """Start of the entry process with the platform's store and packet format."""
 
+import sys
 from contextlib import closing
 
 from siskinproxy.entry.cluster_state import StoreSchema
 from siskinproxy.entry.process import EntryProcess
 from siskinproxy.entry.records import parse_endpoint
 from siskinproxy.entry.settings import EntrySettings
+from siskinproxy.errors import EXIT_GREENLET_FAILED, GreenletFailedError
 from siskinproxy.platform.http_store import HttpStore
 from siskinproxy.platform.packets import PlatformCodec
 from siskinproxy.platform.records import WATCHED_PREFIX, decode_item
@@ -27,6 +29,11 @@
     ----------
     path : str
         Settings file.
+
+    Raises
+    ------
+    SystemExit
+        The settings are wrong, or the process has given itself up.
     """
     cfg = run_or_exit(read_settings, path, EntrySettings)
     store = HttpStore(parse_endpoint(cfg.store.address), STORE_TIMEOUT_S)
@@ -36,4 +43,8 @@
     )
     with closing(process):
         process.start()
-        process.wait()
+        try:
+            process.wait()
+        except GreenletFailedError as exc:
+            sys.stderr.write(f'error=process {exc}\n')
+            sys.exit(EXIT_GREENLET_FAILED)
