Limit the time and the size of a whole answer

What callers would see: a store, an instance or a target that sends a few bytes at a time held the greenlet that waits for it as long as it liked, since the timeout of a socket holds for each read; a response without end filled the memory of the instance until it was killed. Not seen in production.

Change: TimedReader limits the time of a message as a whole; bytes extend it only at a rate that the narrowest links keep. Responses have a largest size. A health page that is larger counts as an answer. Connecting to an instance counts towards the time of its answer.

--- a/siskinproxy/entry/http_client.py
+++ b/siskinproxy/entry/http_client.py
@@ -11,16 +11,19 @@
 from gevent import socket
 
 from siskinproxy.entry.records import Address
-from siskinproxy.entry.tcp import connect, is_reusable
+from siskinproxy.entry.tcp import TimedReader, connect, is_reusable
 from siskinproxy.errors import (
+    ResponseTooLargeError,
     StoreError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 
-__all__ = ('HttpClient', 'HttpResponse')
+__all__ = ('MAX_RESPONSE_BYTES', 'HttpClient', 'HttpResponse')
 
 _RECEIVE_BYTES: Final = 65536
+#: Largest accepted response, in bytes: a page of 1 MB in base64 is smaller.
+MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
@@ -86,13 +89,21 @@
     address : Address
         Address of the server.
     call_timeout_s : float
-        Timeout of connecting, and of each read or write on the socket, in
-        seconds.
+        Timeout of connecting, of sending, and of the response as in
+        `TimedReader`, in seconds.
+    max_response_bytes : int
+        Largest accepted response with its header, in bytes.
     """
 
-    def __init__(self, address: Address, call_timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        call_timeout_s: float,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
+    ) -> None:
         self._address = address
         self._timeout_s = call_timeout_s
+        self._max_response_bytes = max_response_bytes
         self._idle: list[socket.socket] = []
 
     def call(
@@ -133,6 +144,8 @@
         StoreUnavailableError
             The connection failed, the response did not arrive in time or in
             full, or it is not valid HTTP.
+        ResponseTooLargeError
+            The response has too many bytes.
         StoreOutcomeUnknownError
             The same, for a request with `writes`, which the server may have
             executed; also raised if the connection could not be opened.
@@ -170,7 +183,9 @@
         try:
             conn.settimeout(timeout_s)
             conn.sendall(request)
-            response, keep_alive = _receive(conn)
+            response, keep_alive = _receive(
+                TimedReader(conn, timeout_s), self._max_response_bytes
+            )
         except BaseException:
             conn.close()
             raise
@@ -190,11 +205,17 @@
         return None
 
 
-def _receive(conn: socket.socket) -> tuple[HttpResponse, bool]:
+def _receive(
+    reader: TimedReader, limit_bytes: int
+) -> tuple[HttpResponse, bool]:
     callbacks = _ResponseCallbacks()
     parser = callbacks.parser
+    total_bytes = 0
     while not callbacks.is_complete:
-        received = conn.recv(_RECEIVE_BYTES)
+        received = reader.receive(_RECEIVE_BYTES)
+        total_bytes += len(received)
+        if total_bytes > limit_bytes:
+            raise ResponseTooLargeError(limit_bytes)
         if not received:
             raise ConnectionResetError(
                 'server closed the connection before the end of the response'
--- a/siskinproxy/entry/peer_link.py
+++ b/siskinproxy/entry/peer_link.py
@@ -3,6 +3,7 @@
 A client sends a query and waits for its answer, one at a time.
 """
 
+import time
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -21,6 +22,7 @@
 from siskinproxy.entry.records import Address
 from siskinproxy.entry.supervision import Spawn, run_isolated, spawn_plain
 from siskinproxy.entry.tcp import (
+    TimedReader,
     accept_connections,
     connect,
     is_reusable,
@@ -46,8 +48,8 @@
     address : Address
         Address of the other instance.
     timeout_s : float
-        Time for connecting, and time for an answer beyond the wait that the
-        query allows, in seconds.
+        Time for connecting and for an answer together, beyond the wait that
+        the query allows, in seconds.
     """
 
     def __init__(self, address: Address, timeout_s: float) -> None:
@@ -70,12 +72,17 @@
         """
         if self._conn is not None and not is_reusable(self._conn):
             self.close()
+        started_s = time.monotonic()
         try:
             if self._conn is None:
                 self._conn = connect(self._address, self._timeout_s)
-            self._conn.settimeout(self._timeout_s + query.wait_ms / 1000)
+            spent_s = time.monotonic() - started_s
+            left_s = max(self._timeout_s - spent_s, 0) + query.wait_ms / 1000
+            self._conn.settimeout(self._timeout_s)
             self._conn.sendall(encode_frame(query))
-            return decode_answer(_receive_frame(self._conn))
+            return decode_answer(
+                _receive_frame(TimedReader(self._conn, left_s))
+            )
         except (OSError, LinkFormatError) as exc:
             self.close()
             detail = f'reason="{type(exc).__name__}: {exc}"'
@@ -155,7 +162,8 @@
             conn.settimeout(_IDLE_TIMEOUT_S)
             try:
                 while True:
-                    query = decode_query(_receive_frame(conn))
+                    reader = TimedReader(conn, _IDLE_TIMEOUT_S)
+                    query = decode_query(_receive_frame(reader))
                     conn.sendall(encode_frame(self._answer(query)))
             except (OSError, LinkFormatError) as exc:
                 self._events.event(
@@ -164,18 +172,19 @@
                 )
 
 
-def _receive_frame(conn: socket.socket) -> bytes:
-    length = LENGTH_PREFIX.unpack(_receive_exactly(conn, LENGTH_PREFIX.size))[0]
+def _receive_frame(reader: TimedReader) -> bytes:
+    prefix = _receive_exactly(reader, LENGTH_PREFIX.size)
+    length = LENGTH_PREFIX.unpack(prefix)[0]
     if length > MAX_FRAME_BYTES:
         raise LinkFormatError(f'frame_bytes={length} limit={MAX_FRAME_BYTES}')
-    return _receive_exactly(conn, length)
+    return _receive_exactly(reader, length)
 
 
-def _receive_exactly(conn: socket.socket, length: int) -> bytes:
+def _receive_exactly(reader: TimedReader, length: int) -> bytes:
     parts = []
     missing = length
     while missing:
-        part = conn.recv(min(missing, _RECEIVE_BYTES))
+        part = reader.receive(min(missing, _RECEIVE_BYTES))
         if not part:
             raise ConnectionResetError('peer closed the connection')
         parts.append(part)
--- a/siskinproxy/entry/target_check.py
+++ b/siskinproxy/entry/target_check.py
@@ -10,12 +10,15 @@
 from siskinproxy.entry.http_client import HttpClient
 from siskinproxy.entry.records import Address
 from siskinproxy.entry.responsiveness import CheckOutcome
-from siskinproxy.errors import StoreError
+from siskinproxy.errors import ResponseTooLargeError, StoreError
 
-__all__ = ('CHECK_TIMEOUT_S', 'check_target')
+__all__ = ('CHECK_TIMEOUT_S', 'MAX_HEALTH_BYTES', 'check_target')
 
 #: Timeout of connecting and of the response, in seconds.
 CHECK_TIMEOUT_S: Final = 0.4
+#: Part of a health page that is read, in bytes; a page that is larger counts as
+#: an answer too.
+MAX_HEALTH_BYTES: Final = 65536
 #: Excess of a check's duration over its timeouts from which on the process
 #: counts as paused, in seconds. Then a timeout says nothing about the target.
 _PAUSE_S: Final = 0.25
@@ -37,9 +40,11 @@
         None if this process was paused, so that the outcome is unknown.
     """
     started_s = time.monotonic()
-    client = HttpClient(address, CHECK_TIMEOUT_S)
+    client = HttpClient(address, CHECK_TIMEOUT_S, MAX_HEALTH_BYTES)
     try:
         client.call('GET', path or '/')
+    except ResponseTooLargeError:
+        return CheckOutcome.ANSWERED
     except StoreError as exc:
         is_refused = isinstance(exc.__cause__, ConnectionError)
     else:
--- a/siskinproxy/entry/tcp.py
+++ b/siskinproxy/entry/tcp.py
@@ -1,5 +1,6 @@
 """Creates connected and listening TCP sockets on gevent."""
 
+import time
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -8,7 +9,19 @@
 
 from siskinproxy.entry.records import Address
 
-__all__ = ('accept_connections', 'connect', 'is_reusable', 'listen')
+__all__ = (
+    'MIN_BYTES_PER_S',
+    'TimedReader',
+    'accept_connections',
+    'connect',
+    'is_reusable',
+    'listen',
+)
+
+#: Rate that a message must keep once its timeout has passed, in bytes per
+#: second: less than the share of one of 28 instances that get changes over a
+#: link of 5 Mbit/s.
+MIN_BYTES_PER_S: Final = 16_384
 
 #: Delay after a connection that could not be accepted, for example since the
 #: process has too many open files, in seconds.
@@ -47,6 +60,44 @@
     return conn
 
 
+class TimedReader:
+    """Receives one message, with a limit on the time for all of it.
+
+    The timeout of a socket holds for each read, so a peer that sends a few
+    bytes at a time could hold the reader up without end.
+
+    Parameters
+    ----------
+    conn : socket.socket
+        Connection on which the message arrives.
+    timeout_s : float
+        Time for the message from now on, in seconds. Each received byte extends
+        it by the time that the byte takes at `MIN_BYTES_PER_S`.
+    """
+
+    def __init__(self, conn: socket.socket, timeout_s: float) -> None:
+        self._conn = conn
+        self._due_s = time.monotonic() + timeout_s
+
+    def receive(self, most: int) -> bytes:
+        """Return the next bytes, at most `most`; empty at the end.
+
+        Raises
+        ------
+        TimeoutError
+            The message takes too long.
+        OSError
+            The connection failed.
+        """
+        left_s = self._due_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError('the message arrives too slowly')
+        self._conn.settimeout(left_s)
+        received = self._conn.recv(most)
+        self._due_s += len(received) / MIN_BYTES_PER_S
+        return received
+
+
 def listen(address: Address, backlog: int) -> socket.socket:
     """Return a listening socket.
 
