Bound the time until the store is asked by the age of the known state

Cause: an undisturbed instance asked a stale source, then a paused one for 1.4 s, then the stale one again, before the store. The times were added up for one failed source only. Besides, connecting had a timeout of its own, and an answer that was held up on its way counted as newer than it was.

Change: a query ends 0.4 s after the own state is stale, whenever it was sent, connecting included; an instance answers as soon as its state is stale; after two setbacks stale instances are not asked again before the store. A stale instance waits 0.2 s for news before it answers, so that those below the leads learn from it, not from the store. Answers state how long they waited.

The number of instances of a zone of 200 that ask the store stays at three, by test.

--- a/siskinproxy/entry/bounds.py
+++ b/siskinproxy/entry/bounds.py
@@ -35,6 +35,8 @@
 #: Heartbeats of a target after which its state is known: the first one may
 #: have been sent just before its zone returned to service.
 HEARTBEATS_TO_WAIT: Final = 2
+#: Time beyond a watch until an announcement is known, in seconds.
+LEARNING_MARGIN_S: Final = 0.1
 #: Heartbeats without which the store removes the entry of a target.
 HEARTBEATS_OF_SILENCE: Final = 3
 #: Time until the end of such an entry is known, in seconds.
@@ -74,6 +76,7 @@
         watch_s=scale * defaults.watch_s,
         peer_timeout_s=scale * defaults.peer_timeout_s,
         stale_s=scale * defaults.stale_s,
+        hurried_wait_s=scale * defaults.hurried_wait_s,
         batch_delay_s=scale * defaults.batch_delay_s,
         retry_s=scale * defaults.retry_s,
     )
@@ -91,14 +94,17 @@
     -------
     DirectoryTiming
         Timing of the directory. Targets of a zone that returned to service
-        count as cold for `HEARTBEATS_TO_WAIT` heartbeats, a watch and a retry:
-        by then this instance has learned whether they are cold.
+        count as cold for `HEARTBEATS_TO_WAIT` heartbeats, a watch and
+        `LEARNING_MARGIN_S`: by then this instance has learned whether they are
+        cold.
     """
     follower = follower_timing(bounds)
     heartbeats_s = HEARTBEATS_TO_WAIT * bounds.heartbeat_ms / _MS_PER_S
     return DirectoryTiming(
         flow_life_s=bounds.flow_life_s,
-        returned_zone_cold_s=heartbeats_s + follower.watch_s + follower.retry_s,
+        returned_zone_cold_s=(
+            heartbeats_s + follower.watch_s + LEARNING_MARGIN_S
+        ),
     )
 
 
--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -44,11 +44,16 @@
         change before it answers. It limits how long a connection without
         answers goes unnoticed.
     peer_timeout_s : float
-        Time that another instance may take to accept a connection, and to
-        answer beyond the time for which it was asked to wait.
+        Time that another instance may take to accept a connection and to
+        answer, beyond the time for which it was asked to wait.
     stale_s : float
         Age above which an answer is stale, so that its source is avoided:
-        long enough for a watch, a failed call and the next call.
+        long enough for a watch, a failed call and the next call. An instance
+        that is asked answers by then, and one that asks waits no longer.
+    hurried_wait_s : float
+        Wait for changes of an instance whose own state is stale: long enough
+        for its source to ask the store in turn. It does not extend the time for
+        the answer.
     batch_delay_s : float
         Delay between an answer of the store that has changes and the next
         watch, so that changes in quick succession cost one call.
@@ -66,8 +71,9 @@
     watch_s: float = 1.0
     peer_timeout_s: float = 0.4
     stale_s: float = 1.7
+    hurried_wait_s: float = 0.2
     batch_delay_s: float = 0.2
-    retry_s: float = 0.1
+    retry_s: float = 0.07
     answer_slack_s: float = 1.0
     reregistration_s: float = 2.5
 
@@ -185,8 +191,9 @@
         """Return the changes that another instance lacks.
 
         If there are none, the call waits for the next change, at most as long
-        as the query allows. It does not wait if the state of this instance is
-        stale, so that the other instance asks elsewhere at once.
+        as the query allows, and no longer than until the state of this instance
+        is stale, so that the other instance asks elsewhere. While it is stale,
+        the call waits for `FollowerTiming.hurried_wait_s` at most.
 
         Parameters
         ----------
@@ -199,10 +206,10 @@
             Changes after the revision of the query; may have no items.
         """
         mirror = self._cluster_state.mirror
-        is_fresh = not self._is_stale(self.age_s(self._clock()))
+        asked_s = self._clock()
         has_epoch = query.epoch in {0, mirror.epoch}
-        if is_fresh and has_epoch and mirror.revision <= query.revision:
-            self._changed.wait(query.wait_ms / 1000)
+        if has_epoch and mirror.revision <= query.revision:
+            self._wait_for_change(query.wait_ms / 1000)
         now_s = self._clock()
         changes = mirror.changes_after(query.revision, query.epoch)
         return ChangesAnswer(
@@ -212,8 +219,24 @@
             age_ms=_milliseconds(self.age_s(now_s)),
             may_have_lapsed=self._may_have_lapsed(now_s),
             epoch=changes.epoch,
+            waited_ms=_milliseconds(max(now_s - asked_s, 0)),
         )
 
+    def _wait_for_change(self, wait_s: float) -> None:
+        """Wait for a change, at most until the known state is stale."""
+        changed = self._changed
+        now_s = self._clock()
+        if self.is_stale(now_s):
+            changed.wait(min(wait_s, self.timing.hurried_wait_s))
+            return
+        due_s = now_s + wait_s
+        while True:
+            # The store may have confirmed the state meanwhile.
+            stale_s = self.confirmed_s + self.timing.stale_s
+            left_s = min(due_s, stale_s) - self._clock()
+            if left_s <= 0 or changed.wait(left_s):
+                return
+
     def _pack(self, query: ChangesQuery, changes: PrefixChanges) -> bytes:
         """Return the packed items of the changes that an instance lacks.
 
@@ -250,12 +273,13 @@
             changes = self._ask_store()
             self._check_history(changes)
             now_s = self._clock()
-            answered_s = self._latest_answer_s(sent_s, now_s)
+            answered_s = self._latest_answer_s(sent_s, now_s, changes)
             self._apply(source, changes, answered_s, now_s)
+            self._selector.note_answered(source)
             if changes.items:
                 gevent.sleep(self.timing.batch_delay_s)
             return
-        answer = self._ask_instance(source)
+        answer = self._ask_instance(source, sent_s)
         now_s = self._clock()
         changes = PrefixChanges(
             unpack_items(answer.packed),
@@ -264,20 +288,32 @@
             answer.epoch,
         )
         self._check_history(changes)
-        age_s = None if answer.age_ms is None else answer.age_ms / 1000
-        answered_s = self._latest_answer_s(sent_s, now_s)
-        confirmed_s = -1 if age_s is None else answered_s - age_s
+        if answer.waited_ms is None:
+            answered_s = self._latest_answer_s(sent_s, now_s, changes)
+        else:
+            answered_s = min(now_s, sent_s + answer.waited_ms / 1000)
+        confirmed_s: float = -1
+        if answer.age_ms is not None:
+            confirmed_s = answered_s - answer.age_ms / 1000
         if answer.may_have_lapsed:
             self._regained_s = now_s
         self._apply(source, changes, confirmed_s, now_s)
-        if self._is_stale(age_s):
+        if confirmed_s < 0 or self._is_stale(now_s - confirmed_s):
             self._selector.note_stale(source, now_s)
             gevent.sleep(self.timing.retry_s)
+        else:
+            self._selector.note_answered(source)
+
+    def _latest_answer_s(
+        self, sent_s: float, now_s: float, changes: PrefixChanges
+    ) -> float:
+        """Return the latest time at which an answer read now was sent.
 
-    def _latest_answer_s(self, sent_s: float, now_s: float) -> float:
-        """Return the latest time at which an answer read now was sent."""
+        An answer without changes was sent at the end of the wait for them.
+        """
         timing = self.timing
-        return min(now_s, sent_s + timing.watch_s + timing.answer_slack_s)
+        slack_s = timing.answer_slack_s if changes.items else 0
+        return min(now_s, sent_s + timing.watch_s + slack_s)
 
     def _ask_store(self) -> PrefixChanges:
         has_failed = self._has_store_failed
@@ -327,17 +363,24 @@
                 f'epoch={changes.epoch} known_epoch={mirror.epoch}'
             )
 
-    def _ask_instance(self, source: Source) -> ChangesAnswer:
+    def _ask_instance(self, source: Source, now_s: float) -> ChangesAnswer:
         client = self._clients.get(source.name)
         if client is None:
-            client = PeerClient(
-                source.instance.address, self.timing.peer_timeout_s
-            )
+            client = PeerClient(source.instance.address)
             self._clients[source.name] = client
-        wait_ms = round(1000 * self.timing.watch_s * source.wait_share)
+        timing = self.timing
+        wait_s = timing.watch_s * source.wait_share
+        age_s = self.age_s(now_s)
+        if age_s is not None:
+            wait_s = min(wait_s, max(timing.stale_s - age_s, 0))
+        # A source that does not answer is given up soon after the state of
+        # this instance is stale, whenever it was asked.
+        timeout_s = wait_s + timing.peer_timeout_s
+        wait_ms = round(1000 * max(wait_s, timing.hurried_wait_s))
         mirror = self._cluster_state.mirror
         return client.ask(
-            ChangesQuery(self._name, mirror.revision, wait_ms, mirror.epoch)
+            ChangesQuery(self._name, mirror.revision, wait_ms, mirror.epoch),
+            timeout_s,
         )
 
     def _apply(
@@ -368,7 +411,6 @@
     def _note_answered(
         self, source: Source, confirmed_s: float, now_s: float
     ) -> None:
-        self._selector.note_answered(source)
         if source != self._source:
             age_s = None if confirmed_s < 0 else now_s - confirmed_s
             self._events.event(
--- a/siskinproxy/entry/peer_link.py
+++ b/siskinproxy/entry/peer_link.py
@@ -47,23 +47,26 @@
     ----------
     address : Address
         Address of the other instance.
-    timeout_s : float
-        Time for connecting and for an answer together, beyond the wait that
-        the query allows, in seconds.
     """
 
-    def __init__(self, address: Address, timeout_s: float) -> None:
+    def __init__(self, address: Address) -> None:
         self._address = address
-        self._timeout_s = timeout_s
         self._conn: socket.socket | None = None
 
-    def ask(self, query: ChangesQuery) -> ChangesAnswer:
+    def ask(self, query: ChangesQuery, timeout_s: float) -> ChangesAnswer:
         """Return the answer of the other instance to a query.
 
         Connects first if there is no connection that can be used; closes it
         if the query has no answer, so that a late one is not taken for the
         answer to the next query.
 
+        Parameters
+        ----------
+        query : ChangesQuery
+            Query.
+        timeout_s : float
+            Time for connecting and for the answer together, in seconds.
+
         Raises
         ------
         StoreUnavailableError
@@ -75,10 +78,9 @@
         started_s = time.monotonic()
         try:
             if self._conn is None:
-                self._conn = connect(self._address, self._timeout_s)
-            spent_s = time.monotonic() - started_s
-            left_s = max(self._timeout_s - spent_s, 0) + query.wait_ms / 1000
-            self._conn.settimeout(self._timeout_s)
+                self._conn = connect(self._address, timeout_s)
+            left_s = max(started_s + timeout_s - time.monotonic(), 0)
+            self._conn.settimeout(timeout_s)
             self._conn.sendall(encode_frame(query))
             return decode_answer(
                 _receive_frame(TimedReader(self._conn, left_s))
--- a/siskinproxy/entry/peer_messages.py
+++ b/siskinproxy/entry/peer_messages.py
@@ -78,6 +78,10 @@
         could not renew them while the store was unavailable.
     epoch : int
         Epoch of the store to which the revision belongs; 0 if not stated.
+    waited_ms : int or None
+        Time from the query to this answer, in milliseconds. An answer that was
+        held up on its way is thus not taken for newer than it is. None if not
+        stated.
     """
 
     packed: bytes
@@ -86,6 +90,7 @@
     age_ms: BoundedInt | None
     may_have_lapsed: bool
     epoch: BoundedInt = 0
+    waited_ms: BoundedInt | None = None
 
 
 #: zlib level; the fastest, since small instances have a fraction of a core.
--- a/siskinproxy/entry/sources.py
+++ b/siskinproxy/entry/sources.py
@@ -119,6 +119,9 @@
         self._stale: set[str] = set()
         #: Failures of instances since the store was considered last.
         self._failures = 0
+        #: Failures and stale answers of instances since the last fresh answer
+        #: or call of the store.
+        self._setbacks = 0
         #: Time at which this instance may ask the store although its sources
         #: have lost it, in seconds; None while they have not.
         self._turn_s: float | None = None
@@ -139,7 +142,8 @@
             else the store; else an instance of another zone that reads the
             store for it; else a random one of all registered instances, or of
             the seeds if no instance is registered. Sources that failed or were
-            stale lately are skipped. If all of them were, the store.
+            stale lately are skipped; after as many failures and stale answers
+            in succession, all that were stale. If all of them were, the store.
         """
         limits = self._limits
         above = [
@@ -148,13 +152,13 @@
             if record.name in self._stale
             or not self._is_avoided(record.name, now_s)
         ]
+        is_lead = len(above) <= limits.zone_attempts
         if self._failures < limits.zone_attempts:
             for upper in above[: limits.zone_attempts]:
-                if not self._is_avoided(upper.name, now_s):
+                if self._may_ask(upper, now_s):
                     if upper.name not in self._stale:
                         self._turn_s = None
                     return Source(upper)
-        is_lead = len(above) <= limits.zone_attempts
         may_ask_store = (
             is_lead
             or self._failures >= limits.zone_attempts
@@ -162,9 +166,21 @@
         )
         self._failures = 0
         if may_ask_store and not self._is_avoided(STORE.name, now_s):
+            self._setbacks = 0
             return STORE
         return self._choose_other(now_s, is_lead=is_lead)
 
+    def _may_ask(self, upper: InstanceRecord, now_s: float) -> bool:
+        """Return whether to ask an instance that ranks above this one.
+
+        One that was stale may have failed since. After setbacks there is no
+        time to find out before a change has to be known.
+        """
+        if self._is_avoided(upper.name, now_s):
+            return False
+        has_setbacks = self._setbacks >= self._limits.zone_attempts
+        return not (has_setbacks and upper.name in self._stale)
+
     def _choose_other(self, now_s: float, *, is_lead: bool) -> Source:
         """Return an instance of any zone; the store if all are avoided."""
         registered = tuple(self._instances.registered())
@@ -182,6 +198,8 @@
             # Any other instance of a zone is a wait for changes behind them.
             readers = self._readers_of_other_zones(registered)
             others = [each for each in others if each in readers] or others
+        fresh = [each for each in others if each.name not in self._stale]
+        others = fresh or others
         chosen = self._rng.choice(others)
         is_relayed = bool(registered) and chosen.zone != own.zone
         share = self._limits.relayed_wait_share if is_relayed else 1
@@ -227,16 +245,20 @@
             self._avoid(source, now_s + limits.avoid_store_s)
         else:
             self._failures += 1
+            self._setbacks += 1
             self._avoid(source, now_s + limits.avoid_s)
 
     def note_stale(self, source: Source, now_s: float) -> None:
         """Skip a source that has lost the store, for a shorter time."""
+        self._failures = 0
+        self._setbacks += 1
         self._stale.add(source.name)
         self._avoid(source, now_s + self._limits.avoid_stale_s)
 
     def note_answered(self, source: Source) -> None:
-        """Allow a source again, since it has answered."""
+        """Allow a source again, since its answer was not stale."""
         self._failures = 0
+        self._setbacks = 0
         self._stale.discard(source.name)
         self._avoided_until_s.pop(source.name, None)
 
--- a/siskinproxy/entry/tests/test_follower.py
+++ b/siskinproxy/entry/tests/test_follower.py
@@ -24,6 +24,7 @@
     watch_s=0.05,
     peer_timeout_s=0.05,
     stale_s=0.3,
+    hurried_wait_s=0.025,
     retry_s=0.01,
     reregistration_s=0.5,
 )
--- a/siskinproxy/entry/tests/test_reused_connections.py
+++ b/siskinproxy/entry/tests/test_reused_connections.py
@@ -135,11 +135,11 @@
         [(0, answer(2))],
     ]
     with Server(replies) as server:
-        client = PeerClient(server.address, TIMEOUT_S)
+        client = PeerClient(server.address)
         query = ChangesQuery('i-1', 0, 0)
-        assert client.ask(query).revision == 1
+        assert client.ask(query, TIMEOUT_S).revision == 1
         gevent.sleep(ARRIVAL_S)
-        assert client.ask(query).revision == 2
+        assert client.ask(query, TIMEOUT_S).revision == 2
         client.close()
 
 
@@ -147,11 +147,11 @@
     """Guards against reading a late answer after a timeout."""
     replies = [[(2 * TIMEOUT_S, answer(1))], [(0, answer(2))]]
     with Server(replies) as server:
-        client = PeerClient(server.address, TIMEOUT_S)
+        client = PeerClient(server.address)
         query = ChangesQuery('i-1', 0, 0)
         with pytest.raises(StoreUnavailableError):
-            client.ask(query)
-        assert client.ask(query).revision == 2
+            client.ask(query, TIMEOUT_S)
+        assert client.ask(query, TIMEOUT_S).revision == 2
         client.close()
 
 
@@ -159,12 +159,12 @@
     """Guards against an answer that is left over from an interrupted call."""
     replies = [[(0.1, answer(1))], [(0, answer(2))]]
     with Server(replies) as server:
-        client = PeerClient(server.address, TIMEOUT_S)
+        client = PeerClient(server.address)
         query = ChangesQuery('i-1', 0, 0)
         with gevent.Timeout(0.02, exception=False):
-            client.ask(query)
+            client.ask(query, TIMEOUT_S)
         gevent.sleep(0.2)
-        assert client.ask(query).revision == 2
+        assert client.ask(query, TIMEOUT_S).revision == 2
         client.close()
 
 
@@ -174,7 +174,7 @@
     frame = answer(1)
     part = frame[: int(kept * len(frame))]
     with Server([[(0, part), (0.01, None)]]) as server:
-        client = PeerClient(server.address, TIMEOUT_S)
+        client = PeerClient(server.address)
         with pytest.raises(StoreUnavailableError):
-            client.ask(ChangesQuery('i-1', 0, 0))
+            client.ask(ChangesQuery('i-1', 0, 0), TIMEOUT_S)
         client.close()
--- a/siskinproxy/entry/tests/test_slow_answers.py
+++ b/siskinproxy/entry/tests/test_slow_answers.py
@@ -88,10 +88,10 @@
     def send_frame(conn):
         send_slowly(conn, LENGTH_PREFIX.pack(10_000) + bytes(10_000))
 
-    client = PeerClient(serve(send_frame), 0.1)
+    client = PeerClient(serve(send_frame))
     started_s = time.monotonic()
     with pytest.raises(StoreUnavailableError, match='TimeoutError'):
-        client.ask(ChangesQuery('i-1', 1, 100))
+        client.ask(ChangesQuery('i-1', 1, 100), 0.2)
     assert time.monotonic() - started_s < 0.2 + SLACK_S
 
 
--- a/siskinproxy/entry/tests/test_sources.py
+++ b/siskinproxy/entry/tests/test_sources.py
@@ -166,6 +166,33 @@
     assert asked.count(served) >= 10
 
 
+@pytest.mark.parametrize('size', [30, 200])
+def test_two_failed_sources_leave_the_calls_to_a_few(size):
+    """Guards against a zone of hundreds that all ask the store at once.
+
+    The first instance is stale and the second one silent; only the leads turn
+    to the store, and the others learn from them.
+    """
+    found = selectors(*(f'i-{number:03}' for number in range(size)))
+    first = next(name for name in found if found[name].is_reader)
+    rest = selectors(*(name for name in found if name != first))
+    second = next(name for name in rest if rest[name].is_reader)
+    alive = [name for name in found if name not in {first, second}]
+    asked = set()
+    for step in range(60):
+        now_s = step / 10
+        for name in alive:
+            source = found[name].choose(now_s)
+            if source.name == first:
+                found[name].note_stale(source, now_s)
+            elif source.name == second:
+                found[name].note_failed(source, now_s)
+            else:
+                found[name].note_answered(source)
+                asked.update([name] if source == STORE else [])
+    assert len(asked) <= 3
+
+
 def test_failed_instances_are_passed_over():
     """Guards against a zone whose first instances are dead asking the store.
 
