Count a target whose process has ended as cold once it returns

Cause: whether a target is cold came from its entry, which was still that of the earlier process. The end of a suspicion made the target trusted without a limit, at all instances.

The earlier code has no state for it.

Change: a refused connection shows that the process has ended. RestartWatch lets the target count as cold from then on, and for the warm-up of its service from its first answer on. Instances of all zones are told, by two relays in each other zone, since the limit is of all instances together. An entry with a later start lifts it. Targets that were only silent stay warm.

--- a/siskinproxy/entry/directory.py
+++ b/siskinproxy/entry/directory.py
@@ -76,7 +76,11 @@
     absent_since_s : float
         Time at which the entry was last removed, in seconds; 0 if never.
     cold_until_s : float
-        Time until which the target counts as cold, in seconds.
+        Time until which the target counts as cold by its entry, or since its
+        zone has returned, in seconds.
+    unproven_until_s : float
+        Time until which it counts as cold because its entry may be that of an
+        earlier process, in seconds.
     """
 
     __slots__ = (
@@ -85,6 +89,7 @@
         'presence',
         'record',
         'token',
+        'unproven_until_s',
     )
 
     def __init__(self, record: TargetRecord) -> None:
@@ -93,6 +98,7 @@
         self.presence = Presence.LISTED
         self.absent_since_s: float = 0
         self.cold_until_s: float = 0
+        self.unproven_until_s: float = 0
 
     @property
     def name(self) -> str:
@@ -102,10 +108,10 @@
     def is_cold(self, now_s: float) -> bool:
         """Return whether the target counts as cold and takes few requests.
 
-        It does while it warms up, and for a time after its zone is back in
-        service.
+        It does while it warms up, for a time after its zone is back in
+        service, and while its process may have started again.
         """
-        return now_s < self.cold_until_s
+        return now_s < self.cold_until_s or now_s < self.unproven_until_s
 
 
 class TargetChange(enum.Enum):
@@ -164,6 +170,10 @@
         """Yield all known targets, including those that are gone."""
         yield from self._by_name.values()
 
+    def get(self, name: str) -> KnownTarget | None:
+        """Return the target with this name, None if it is unknown."""
+        return self._by_name.get(name)
+
     def usable_targets(self, service: str) -> tuple[KnownTarget, ...]:
         """Return the targets that new flows of a service may go to."""
         found = self._by_service.get(service)
@@ -250,6 +260,8 @@
         change = TargetChange.UPDATED
         if record.started_unix_ms != earlier.started_unix_ms:
             change = TargetChange.RESTARTED
+            # The entry is that of the new process.
+            known.unproven_until_s = 0
         elif record.is_draining and not earlier.is_draining:
             change = TargetChange.DRAINING
         return self._report(known, change, earlier, now_s)
--- a/siskinproxy/entry/evidence.py
+++ b/siskinproxy/entry/evidence.py
@@ -41,6 +41,11 @@
     CHECKED = 1
     #: A caller has acknowledged the answer to an opening.
     SERVED = 2
+    #: The target's host has refused a connection, so its process has ended.
+    #: Unlike the findings above, it counts in all zones.
+    ENDED = 3
+    #: The first answer after that; counts in all zones.
+    RETURNED = 4
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
--- a/siskinproxy/entry/failure_detector.py
+++ b/siskinproxy/entry/failure_detector.py
@@ -94,6 +94,9 @@
         Sends a datagram to another instance.
     list_members : callable
         Returns the instances of the zone, this one included.
+    list_relays : callable
+        Returns the instances of other zones that pass on to their zones which
+        targets have ended or returned.
     counters : Counter
         Gets the numbers of checks and reports.
     events : EventSink
@@ -108,6 +111,7 @@
         routes: RouteTable,
         send: Callable[[bytes, Address], None],
         list_members: Callable[[], Iterable[InstanceRecord]],
+        list_relays: Callable[[], Iterable[InstanceRecord]],
         counters: Counter[str],
         events: EventSink,
         clock: Callable[[], float],
@@ -116,6 +120,7 @@
         self._routes = routes
         self._send = send
         self._list_members = list_members
+        self._list_relays = list_relays
         self._counters = counters
         self._events = events
         self._clock = clock
@@ -226,8 +231,12 @@
         repeated_to = self._responsiveness.checkers(
             self._responsiveness.repeated_targets()
         )
-        news, repeated = self._responsiveness.take_reports(now_s)
         members = tuple(self._list_members())
+        # Before the news that may end a suspicion.
+        processes = self._responsiveness.take_process_report(now_s)
+        if processes is not None:
+            self._send_report(processes, (*members, *self._list_relays()))
+        news, repeated = self._responsiveness.take_reports(now_s)
         if news is not None:
             self._send_report(news, members)
         if repeated is not None:
--- a/siskinproxy/entry/instances.py
+++ b/siskinproxy/entry/instances.py
@@ -116,6 +116,26 @@
         members = [record for record in found if record.zone == zone]
         return tuple(sorted(members, key=lambda record: record.name))
 
+    def first_of_other_zones(
+        self, zone: str, count: int
+    ) -> tuple[InstanceRecord, ...]:
+        """Return the first instances by name of each zone but one.
+
+        Parameters
+        ----------
+        zone : str
+            Zone that is left out.
+        count : int
+            Largest number of instances of each zone.
+        """
+        found: dict[str, list[InstanceRecord]] = {}
+        for name in sorted(self._registered):
+            record = self._registered[name]
+            members = found.setdefault(record.zone, [])
+            if record.zone != zone and len(members) < count:
+                members.append(record)
+        return tuple(each for members in found.values() for each in members)
+
     def registered(self) -> Iterator[InstanceRecord]:
         """Yield the registered instances."""
         yield from self._registered.values()
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -72,6 +72,8 @@
 #: Time after the start in which callers may still retransmit packets that were
 #: lost while the process was down, in seconds; load reports are frequent in it.
 STARTUP_RETRANSMISSION_S: Final = 2.0
+#: Instances of each other zone that are told of ended targets.
+RELAYS_PER_ZONE: Final = 2
 #: Time until the engine's timer runs again after an error in it, in seconds.
 TIMER_RETRY_S: Final = 0.1
 
@@ -145,6 +147,8 @@
             name=cfg.instance.name,
             zone=cfg.instance.zone,
             directory=self.directory,
+            warmup_s_of=self.routes.warmup_s_of,
+            events=self.log,
         )
         self._cold_limit = bounds.cold_limit(cfg.instance.name, cfg.bounds)
         self.loads = LoadView()
@@ -218,6 +222,7 @@
             self.routes,
             self._exchange.send_to,
             self._zone_members,
+            self._zone_relays,
             self.engine.counters,
             self.log,
             time.monotonic,
@@ -399,6 +404,11 @@
     def _zone_members(self) -> tuple[InstanceRecord, ...]:
         return self.instances.in_zone(self.record.zone)
 
+    def _zone_relays(self) -> tuple[InstanceRecord, ...]:
+        return self.instances.first_of_other_zones(
+            self.record.zone, RELAYS_PER_ZONE
+        )
+
     def _on_evidence(self, datagram: bytes, now_s: float) -> bool:
         return self._detector.on_datagram(datagram, now_s)
 
--- a/siskinproxy/entry/responsiveness.py
+++ b/siskinproxy/entry/responsiveness.py
@@ -22,7 +22,7 @@
 the number of instances.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from siskinproxy.entry.directory import (
@@ -31,6 +31,7 @@
     TargetDirectory,
 )
 from siskinproxy.entry.evidence import EvidenceReport, Finding
+from siskinproxy.entry.records import TargetRecord
 from siskinproxy.entry.responsiveness_state import (
     MS_PER_S,
     OWN_CHECK,
@@ -42,6 +43,7 @@
     build_report,
     list_changes,
 )
+from siskinproxy.entry.restarts import EventSink, RestartWatch
 
 __all__ = (
     'CheckOutcome',
@@ -53,6 +55,8 @@
 #: Number of instances, in the order of their hashes, that check a target. The
 #: others check it only if they have heard nothing of it for a long time.
 _CHECKING_RANKS: Final = 3
+#: Findings on the process of a target, which count in all zones.
+_PROCESS_FINDINGS: Final = frozenset((Finding.ENDED, Finding.RETURNED))
 
 
 class Responsiveness:
@@ -69,6 +73,11 @@
         Availability zone of this instance.
     directory : TargetDirectory
         Known targets; needed for the exchange of evidence.
+    warmup_s_of : callable or None
+        Returns the warm-up time of a target's service, for targets that start
+        again; None if targets have none.
+    events : EventSink or None
+        Log of targets that end and return; None for no log.
     """
 
     def __init__(
@@ -77,7 +86,10 @@
         name: str = '',
         zone: str = '',
         directory: TargetDirectory | None = None,
+        warmup_s_of: Callable[[TargetRecord], float] | None = None,
+        events: EventSink | None = None,
     ) -> None:
+        self._restarts = RestartWatch(warmup_s_of, events)
         self._limits = limits or ResponsivenessLimits()
         self._name = name
         self._zone = zone
@@ -92,7 +104,7 @@
 
     def has_work(self, now_s: float) -> bool:
         """Return whether a check is due or evidence waits to be sent."""
-        if self._outgoing or self._refreshed:
+        if self._outgoing or self._refreshed or self._restarts.has_news:
             return True
         return self._next_due_s is not None and self._next_due_s <= now_s
 
@@ -157,6 +169,7 @@
         """
         record = self._record(target)
         record.served_s = now_s
+        self._restarts.note_answered(target, now_s)
         if self._name and (record.is_suspected or record.witnesses):
             self._outgoing[target.name, Finding.SERVED] = now_s
         return record.clear(now_s, now_s)
@@ -219,6 +232,7 @@
         """
         record = self._record(target)
         if outcome is CheckOutcome.ANSWERED:
+            self._restarts.note_answered(target, now_s)
             if not record.has_relapsed(now_s, self._limits.relapse_s):
                 self._outgoing[target.name, Finding.CHECKED] = now_s
             was_suspected = self._note_checked(record, now_s, now_s)
@@ -231,6 +245,8 @@
         record.failed_checks += 1
         if record.answered_s > sent_s:
             return ()
+        if record.is_refused:
+            self._restarts.note_refused(target, now_s)
         if record.is_suspected:
             self._refreshed[target.name] = sent_s
             self._schedule_repeat(record, now_s)
@@ -246,7 +262,8 @@
     ) -> tuple[SuspicionChange, ...]:
         """Apply the evidence of another instance.
 
-        Evidence of other zones and on unknown targets is ignored.
+        Evidence on unknown targets is ignored, and so is evidence of other
+        zones, except that the process of a target has ended or returned.
 
         Parameters
         ----------
@@ -260,8 +277,9 @@
         tuple of SuspicionChange
             Targets whose state has changed.
         """
-        if report.zone != self._zone or report.instance == self._name:
+        if report.instance == self._name:
             return ()
+        is_own_zone = report.zone == self._zone
         changes: list[SuspicionChange] = []
         for evidence in report.evidence:
             target = self._directory.find(
@@ -269,7 +287,18 @@
             )
             if target is None:
                 continue
-            found_s = now_s - max(evidence.age_ms, 0) / MS_PER_S
+            found_s = now_s - evidence.age_ms / MS_PER_S
+            if evidence.finding in _PROCESS_FINDINGS:
+                self._restarts.hear(
+                    target,
+                    evidence.finding,
+                    found_s,
+                    report.instance,
+                    relays=not is_own_zone,
+                )
+                continue
+            if not is_own_zone:
+                continue
             record = self._record(target)
             if evidence.finding is Finding.SILENT:
                 changes += list_changes(
@@ -278,6 +307,7 @@
                     is_suspected=True,
                 )
                 continue
+            self._restarts.note_answered(target, found_s, report.instance)
             if evidence.finding is Finding.SERVED:
                 was_suspected = record.clear(found_s, now_s)
             else:
@@ -290,6 +320,29 @@
             )
         return tuple(changes)
 
+    def take_process_report(self, now_s: float) -> EvidenceReport | None:
+        """Return and clear what instances of all zones have to know.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        EvidenceReport or None
+            Processes of targets that have ended or returned; None if there is
+            nothing to send.
+        """
+        findings = self._restarts.take_findings()
+        for name, _ in findings:
+            known = self._directory.get(name)
+            if known is not None:
+                self._record(known)
+        return build_report(
+            self._name, self._zone, findings, self._records, now_s
+        )
+
     def take_reports(
         self, now_s: float
     ) -> tuple[EvidenceReport | None, EvidenceReport | None]:
@@ -392,6 +445,7 @@
         """Delete the state of the target with this name."""
         self._records.pop(name, None)
         self._due.discard(name)
+        self._restarts.forget(name)
 
     def expire(self) -> None:
         """Delete the state of targets that are gone."""
--- a/siskinproxy/entry/routes.py
+++ b/siskinproxy/entry/routes.py
@@ -12,6 +12,7 @@
     PartKind,
     RouteRecord,
     ServiceRecord,
+    TargetRecord,
 )
 
 __all__ = ('ActiveRoute', 'RouteTable')
@@ -88,6 +89,11 @@
         """Return the number of routes in force."""
         return len(self._routes)
 
+    def warmup_s_of(self, target: TargetRecord) -> float:
+        """Return the warm-up time of a target's service, in seconds."""
+        service = self.services.get(target.service)
+        return 0 if service is None else service.warmup_s
+
     def records(self) -> Iterator[RouteRecord]:
         """Yield the routes in force as configured."""
         for route in self._routes.values():
