Count a target whose host took no connections as cold once it returns

Its host is silent, not refusing.

Cause: the same as of the refused connections; and a reset after the connection was accepted was taken for a refusal, although the process lives then.

Change: checks tell a host that is unreachable, or refuses, from a process that accepts and does not answer, or resets. After two unreachable checks in succession, while other targets answer, the process may have ended: the target counts as cold once it returns, in the zone of the instances that checked it, since they can't tell it from a cut path. A reset counts as before, but not as an end of the process.

Evidence: entry/tests/test_restarts.py and test_slow_answers.py. Lost packets, a cut of the instance itself, and processes that accept connections starve no target there.

--- a/siskinproxy/entry/http_client.py
+++ b/siskinproxy/entry/http_client.py
@@ -105,6 +105,20 @@
         self._timeout_s = call_timeout_s
         self._max_response_bytes = max_response_bytes
         self._idle: list[socket.socket] = []
+        self._opened: socket.socket | None = None
+
+    def open(self) -> None:
+        """Connect, so that the next call finds a connection.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The connection failed or timed out.
+        """
+        try:
+            self._opened = connect(self._address, self._timeout_s)
+        except OSError as exc:
+            raise _store_error(exc, writes=False) from exc
 
     def call(
         self,
@@ -177,9 +191,12 @@
         """Close the idle connections; the client stays usable."""
         while self._idle:
             self._idle.pop().close()
+        if self._opened is not None:
+            self._opened.close()
+            self._opened = None
 
     def _exchange(self, request: bytes, timeout_s: float) -> HttpResponse:
-        conn = self._take_idle() or connect(self._address, self._timeout_s)
+        conn = self._take_opened() or connect(self._address, self._timeout_s)
         try:
             conn.settimeout(timeout_s)
             conn.sendall(request)
@@ -195,6 +212,12 @@
             conn.close()
         return response
 
+    def _take_opened(self) -> socket.socket | None:
+        """Return the connection of `open`, or else an idle one, if any."""
+        conn = self._opened
+        self._opened = None
+        return conn or self._take_idle()
+
     def _take_idle(self) -> socket.socket | None:
         """Return an idle connection on which nothing has arrived, if any."""
         while self._idle:
--- a/siskinproxy/entry/responsiveness.py
+++ b/siskinproxy/entry/responsiveness.py
@@ -55,8 +55,12 @@
 #: Number of instances, in the order of their hashes, that check a target. The
 #: others check it only if they have heard nothing of it for a long time.
 _CHECKING_RANKS: Final = 3
-#: Findings on the process of a target, which count in all zones.
-_PROCESS_FINDINGS: Final = frozenset((Finding.ENDED, Finding.RETURNED))
+#: Outcomes after which the host would reset a caller.
+_BROKEN: Final = frozenset((CheckOutcome.REFUSED, CheckOutcome.RESET))
+#: Findings on the process of a target.
+_PROCESS_FINDINGS: Final = frozenset(
+    (Finding.ENDED, Finding.RETURNED, Finding.LOST)
+)
 
 
 class Responsiveness:
@@ -241,12 +245,11 @@
                 (target.name,) if was_suspected else (),
                 is_suspected=False,
             )
-        record.is_refused = outcome is CheckOutcome.REFUSED
+        record.is_refused = outcome in _BROKEN
         record.failed_checks += 1
         if record.answered_s > sent_s:
             return ()
-        if record.is_refused:
-            self._restarts.note_refused(target, now_s)
+        self._note_process(record, outcome, now_s)
         if record.is_suspected:
             self._refreshed[target.name] = sent_s
             self._schedule_repeat(record, now_s)
@@ -288,6 +291,8 @@
             if target is None:
                 continue
             found_s = now_s - evidence.age_ms / MS_PER_S
+            if evidence.finding is Finding.LOST and not is_own_zone:
+                continue
             if evidence.finding in _PROCESS_FINDINGS:
                 self._restarts.hear(
                     target,
@@ -459,6 +464,37 @@
             return self._limits.unheard_s
         return self._limits.probe_interval_s
 
+    def _note_process(
+        self, record: TargetState, outcome: CheckOutcome, now_s: float
+    ) -> None:
+        """Record what a failed check says of the target's process."""
+        if outcome is CheckOutcome.REFUSED:
+            self._restarts.note_refused(record.target, now_s)
+            return
+        if outcome is not CheckOutcome.UNREACHABLE:
+            # The process, or at least its host, has accepted the connection.
+            record.unreachable_checks = 0
+            return
+        record.unreachable_checks += 1
+        is_lost = (
+            record.is_suspected
+            and record.unreachable_checks >= self._limits.unreachable_checks
+            and self._have_others_answered(record)
+        )
+        if is_lost:
+            self._restarts.note_lost(record.target, now_s)
+
+    def _have_others_answered(self, record: TargetState) -> bool:
+        """Return whether another target has answered during a suspicion.
+
+        If none has, this instance may have been cut off itself.
+        """
+        return any(
+            other.answered_s > record.suspected_s
+            for other in self._records.values()
+            if other is not record
+        )
+
     def _hear_silent(
         self, record: TargetState, reporter: str, sent_s: float, now_s: float
     ) -> tuple[str, ...]:
--- a/siskinproxy/entry/responsiveness_state.py
+++ b/siskinproxy/entry/responsiveness_state.py
@@ -33,10 +33,15 @@
 
     #: The target has sent a response, with any status.
     ANSWERED = 'answered'
-    #: The target's host has refused or reset the connection.
+    #: The target's host has refused the connection.
     REFUSED = 'refused'
-    #: No response has arrived in time.
+    #: The connection was accepted, and broke before the end of the response.
+    RESET = 'reset'
+    #: The host has accepted the connection, but no response has arrived in
+    #: time.
     TIMED_OUT = 'timed_out'
+    #: The host has not accepted the connection in time.
+    UNREACHABLE = 'unreachable'
 
 
 class ResponsivenessLimits(msgspec.Struct, frozen=True):
@@ -74,6 +79,10 @@
     unheard_s : float
         Time without any evidence from which on an instance checks a suspected
         target itself, in seconds.
+    unreachable_checks : int
+        Checks in succession for which the host of a suspected target has to be
+        unreachable until its process may have ended. Fewer may be due to lost
+        packets.
     """
 
     unanswered: int = 2
@@ -86,6 +95,7 @@
     rank_delay_s: float = 0.15
     relapse_s: float = 5.0
     unheard_s: float = 10.0
+    unreachable_checks: int = 2
 
 
 class SuspicionChange(msgspec.Struct, frozen=True):
@@ -112,7 +122,8 @@
 
     `unanswered` is the number of consecutive unanswered openings of this
     instance, `witnesses` the time at which each witness sent what was not
-    answered, `failed_checks` the number of failed checks in a row.
+    answered, `failed_checks` the number of failed checks in a row, and
+    `unreachable_checks` that of checks whose host was unreachable.
     `answered_s` is the time of the last answer of any kind, `served_s` that of
     the last one to an opening of this instance.
     """
@@ -131,6 +142,7 @@
         'suspected_s',
         'target',
         'unanswered',
+        'unreachable_checks',
         'witnesses',
     )
 
@@ -138,6 +150,7 @@
         self.target = target
         self.started_unix_ms = target.record.started_unix_ms
         self.unanswered = 0
+        self.unreachable_checks = 0
         self.answered_s: float = -1
         self.served_s: float = -1
         self.suspected_s: float = -1
@@ -187,6 +200,7 @@
             return False
         was_suspected = self.is_suspected
         self.unanswered = 0
+        self.unreachable_checks = 0
         self.is_refused = False
         self.suspected_s = -1
         self.doubted_until_s = -1
--- a/siskinproxy/entry/target_check.py
+++ b/siskinproxy/entry/target_check.py
@@ -41,19 +41,21 @@
     """
     started_s = time.monotonic()
     client = HttpClient(address, CHECK_TIMEOUT_S, MAX_HEALTH_BYTES)
+    outcomes = (CheckOutcome.REFUSED, CheckOutcome.UNREACHABLE)
+    timeouts_s = CHECK_TIMEOUT_S
     try:
+        client.open()
+        outcomes = (CheckOutcome.RESET, CheckOutcome.TIMED_OUT)
+        timeouts_s += CHECK_TIMEOUT_S
         client.call('GET', path or '/')
     except ResponseTooLargeError:
         return CheckOutcome.ANSWERED
     except StoreError as exc:
-        is_refused = isinstance(exc.__cause__, ConnectionError)
-    else:
-        return CheckOutcome.ANSWERED
+        broken, silent = outcomes
+        if isinstance(exc.__cause__, ConnectionError):
+            return broken
+        lasted_s = time.monotonic() - started_s
+        return None if lasted_s > timeouts_s + _PAUSE_S else silent
     finally:
         client.close()
-    if is_refused:
-        return CheckOutcome.REFUSED
-    lasted_s = time.monotonic() - started_s
-    if lasted_s > 2 * CHECK_TIMEOUT_S + _PAUSE_S:
-        return None
-    return CheckOutcome.TIMED_OUT
+    return CheckOutcome.ANSWERED
--- a/siskinproxy/entry/tests/test_restarts.py
+++ b/siskinproxy/entry/tests/test_restarts.py
@@ -157,6 +157,7 @@
         [CheckOutcome.ANSWERED],
         [CheckOutcome.TIMED_OUT, CheckOutcome.ANSWERED],
         [CheckOutcome.TIMED_OUT] * 3 + [CheckOutcome.ANSWERED],
+        [CheckOutcome.RESET, CheckOutcome.ANSWERED],
     ],
 )
 def test_a_target_that_was_only_silent_stays_warm(outcomes):
@@ -167,6 +168,53 @@
     assert fleet.cold('t-1', 1.0 + len(outcomes)) == set()
 
 
+def lose(fleet, outcomes, answered=('t-2',), zone='b'):
+    """Let the instances of a zone suspect a target, and check it."""
+    fleet.check('t-1', CheckOutcome.TIMED_OUT, 1.0, by=ZONES[zone][:2])
+    for name in answered:
+        fleet.check(name, CheckOutcome.ANSWERED, 1.1, by=ZONES[zone][:1])
+    for step, outcome in enumerate(outcomes):
+        fleet.check('t-1', outcome, 2.0 + step, by=ZONES[zone][:1])
+    end_s = 2.0 + len(outcomes)
+    fleet.check('t-1', CheckOutcome.ANSWERED, end_s, by=ZONES[zone][:1])
+    return end_s
+
+
+def test_a_host_that_lost_power_brings_back_a_cold_target():
+    """Guards against full load after a restart that no host has refused.
+
+    Instances of other zones can't tell it from a cut path, and go by their own
+    checks.
+    """
+    fleet = Fleet(targets=2)
+    end_s = lose(fleet, [CheckOutcome.UNREACHABLE] * 2)
+    assert fleet.cold('t-1', end_s + WARMUP_S) == set(ZONES['b'])
+    assert fleet.cold('t-1', end_s + WARMUP_S + 0.3) == set()
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'answered'),
+    [
+        ([CheckOutcome.UNREACHABLE], ['t-2']),
+        ([CheckOutcome.UNREACHABLE] * 3, []),
+        (
+            [
+                CheckOutcome.UNREACHABLE,
+                CheckOutcome.TIMED_OUT,
+                CheckOutcome.UNREACHABLE,
+            ],
+            ['t-2'],
+        ),
+    ],
+    ids=['lost packets', 'own path', 'process lives'],
+)
+def test_targets_that_stayed_warm_are_not_starved(outcomes, answered):
+    """Guards against an instance that limits all targets after its own cut."""
+    fleet = Fleet(targets=2)
+    end_s = lose(fleet, outcomes, answered)
+    assert fleet.cold('t-1', end_s) == set()
+
+
 def test_other_targets_stay_warm():
     """Guards against one restart that slows down a service."""
     fleet = Fleet(targets=3)
--- a/siskinproxy/entry/tests/test_slow_answers.py
+++ b/siskinproxy/entry/tests/test_slow_answers.py
@@ -103,9 +103,14 @@
         client.call('GET', '/')
 
 
+def close_at_once(conn):
+    conn.recv(1000)
+
+
 @pytest.mark.parametrize(
     ('handle', 'outcome'),
     [
+        (close_at_once, CheckOutcome.RESET),
         (send_slowly, CheckOutcome.TIMED_OUT),
         (send_without_end, CheckOutcome.ANSWERED),
         (send_headers_without_end, CheckOutcome.ANSWERED),
@@ -116,3 +121,15 @@
     started_s = time.monotonic()
     assert check_target(serve(handle), '/health') is outcome
     assert time.monotonic() - started_s < CHECK_TIMEOUT_S + SLACK_S
+
+
+def test_a_refused_connection_is_no_reset():
+    """Guards against a live target that counts as ended.
+
+    Only a host that refuses the connection shows that no process listens.
+    """
+    listener = socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    address = Address(*listener.getsockname())
+    assert check_target(address, '/health') is CheckOutcome.REFUSED
+    listener.close()
