Put entries that nobody can use into the soak

The soak injects targets and registrations with numbers of 401 digits, ports out of range, host names and deep nesting, besides its other faults.

--- a/siskinproxy/soak/run.py
+++ b/siskinproxy/soak/run.py
@@ -29,6 +29,7 @@
 from siskinproxy.entry.status import STATUS_PATH, InstanceStatus
 from siskinproxy.platform.entry_main import SETTINGS_VARIABLE
 from siskinproxy.soak.callers import Caller, Outcome, SoakFabric
+from siskinproxy.soak.odd_entries import ODD_ITEMS
 from siskinproxy.soak.proxy import FaultProxy
 from siskinproxy.soak.records import (
     SERVICES,
@@ -306,6 +307,7 @@
             + [
                 self._change_configuration,
                 self._drain_target,
+                self._put_odd_entry,
             ]
         )
 
@@ -509,6 +511,16 @@
         gevent.sleep(self._rng.uniform(0.5, 3))
         self._announce(target)
 
+    def _put_odd_entry(self) -> None:
+        """Write an entry that nobody can use, and remove it after a time."""
+        self._faults['odd_entry'] += 1
+        key, value = self._rng.choice(ODD_ITEMS)
+        self._store.put(key, value)
+        gevent.sleep(self._rng.uniform(0.5, 4))
+        # A fault of the store, or another odd entry, may have removed it.
+        if key in self._store.items:
+            self._store.remove(key)
+
 
 def _instance_host(net: int, number: int) -> str:
     return f'127.{net}.1.{number + 1}'
