Refuse a health path that ends in a line break

A path with a line break at its end fitted the pattern, since a dollar sign also matches before it; the break would have ended the request line of a check early. Found by reading the diff; test_odd_entries.py has the case, which failed before (it was accepted).

--- a/siskinproxy/platform/records.py
+++ b/siskinproxy/platform/records.py
@@ -88,8 +88,8 @@
 _TARGET_NAME_PATTERN: Final = re.compile(r'(?:.*[^0-9a-f])?([0-9a-f]{1,16})')
 _ADDRESS_PATTERN: Final = re.compile(r'([0-9.]{7,15}):([0-9]{1,5})')
 #: Path of a health check: visible ASCII characters, so that it can't end the
-#: request line.
-_PATH_PATTERN: Final = '^(/[!-~]*)?$'
+#: request line. A dollar sign would also match before a line break.
+_PATH_PATTERN: Final = r'^(/[!-~]*)?\Z'
 #: Most requests that a target may claim to run concurrently.
 _MAX_SLOTS: Final = 1_000_000
 _MAX_WEIGHT: Final = 1e9
@@ -150,9 +150,8 @@
 class LimitsEntry(msgspec.Struct):
     """Limits of a configuration that hold for all flows."""
 
-    idle_timeout_ms: Milliseconds = (
-        0  # after this, an idle flow may be discarded
-    )
+    #: After this, an idle flow may be discarded.
+    idle_timeout_ms: Milliseconds = 0
 
 
 class ConfigurationEntry(msgspec.Struct):
--- a/siskinproxy/platform/tests/test_odd_entries.py
+++ b/siskinproxy/platform/tests/test_odd_entries.py
@@ -116,6 +116,7 @@
         ('warmup_per_s', str(DIGITS_401)),
         ('health_path', '"/h\u00e4lth"'),
         ('health_path', '"/a b"'),
+        ('health_path', json.dumps('/health\n')),
         ('health_path', json.dumps('/ HTTP/1.1\r\nX: y')),
         ('health_path', '"health"'),
     ],
