Say what a route's field holds if its value is out of range

The operators' tool showed 'Expected float > 0.0' for a deadline of 0, since the bounds moved into the struct; before, it named the deadline. The reason now begins with what the field holds.

--- a/siskinproxy/platform/records.py
+++ b/siskinproxy/platform/records.py
@@ -83,6 +83,11 @@
 _DECIDING_ROUTE_FIELDS: Final = frozenset(
     ('', 'host', 'prefix', 'service', 'split')
 )
+#: What fields of a route hold whose stored names say little, for faults.
+_ROUTE_FIELD_MEANINGS: Final = {
+    'timeout_ms': 'deadline',
+    'aim_ms': 'latency objective',
+}
 
 #: Name of a target: any prefix, then the hexadecimal digits of its 64-bit id.
 _TARGET_NAME_PATTERN: Final = re.compile(r'(?:.*[^0-9a-f])?([0-9a-f]{1,16})')
@@ -339,7 +344,7 @@
     Faults of the route are added to `faults`.
     """
     entry, found = _read_part(stored, _ROUTE_DECODER, RouteEntry)
-    problems = list(found.faults)
+    problems = [_explain(fault) for fault in found.faults]
     if entry is None or found.faulty_fields & _DECIDING_ROUTE_FIELDS:
         name = found.values.get('name', '')
         faults.extend(_route_faults(name, problems, b'', is_rejected=True))
@@ -365,6 +370,15 @@
     return _build_route(entry, destination, shares) if shares else None
 
 
+def _explain(fault: FieldFault) -> FieldFault:
+    """Return a fault whose reason says what its field holds."""
+    meaning = _ROUTE_FIELD_MEANINGS.get(fault.field)
+    if meaning is None:
+        return fault
+    reason = f'{meaning}: {fault.reason}'
+    return msgspec.structs.replace(fault, reason=reason)
+
+
 def _build_route(
     entry: RouteEntry, destination: bytes, shares: tuple[ServiceShare, ...]
 ) -> RouteRecord:
