Take a refused connection for an end only within the target's zone

Cause: a cut between zones may reset connections. All targets behind it then counted as ended, and as cold once the cut had ended, although they had stayed warm. Hosts that took no connections in two checks counted alike.

Change: only instances of the target's own zone take a refusal for the end of its process, and only while other targets of the zone answer; they tell all others as before. The rule on unreachable hosts is reverted as a failed try. A reset after the connection was accepted stays distinct from a refusal.

--- a/siskinproxy/entry/evidence.py
+++ b/siskinproxy/entry/evidence.py
@@ -46,9 +46,6 @@
     ENDED = 3
     #: The first answer after that; counts in all zones.
     RETURNED = 4
-    #: The target's host has taken no connections for some time, so its process
-    #: may have ended.
-    LOST = 5
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
--- a/siskinproxy/entry/responsiveness.py
+++ b/siskinproxy/entry/responsiveness.py
@@ -57,10 +57,8 @@
 _CHECKING_RANKS: Final = 3
 #: Outcomes after which the host would reset a caller.
 _BROKEN: Final = frozenset((CheckOutcome.REFUSED, CheckOutcome.RESET))
-#: Findings on the process of a target.
-_PROCESS_FINDINGS: Final = frozenset(
-    (Finding.ENDED, Finding.RETURNED, Finding.LOST)
-)
+#: Findings on the process of a target, which count in all zones.
+_PROCESS_FINDINGS: Final = frozenset((Finding.ENDED, Finding.RETURNED))
 
 
 class Responsiveness:
@@ -249,7 +247,10 @@
         record.failed_checks += 1
         if record.answered_s > sent_s:
             return ()
-        self._note_process(record, outcome, now_s)
+        if outcome is CheckOutcome.REFUSED and self._is_path_sound(
+            record, now_s
+        ):
+            self._restarts.note_refused(target, now_s)
         if record.is_suspected:
             self._refreshed[target.name] = sent_s
             self._schedule_repeat(record, now_s)
@@ -291,8 +292,6 @@
             if target is None:
                 continue
             found_s = now_s - evidence.age_ms / MS_PER_S
-            if evidence.finding is Finding.LOST and not is_own_zone:
-                continue
             if evidence.finding in _PROCESS_FINDINGS:
                 self._restarts.hear(
                     target,
@@ -464,35 +463,20 @@
             return self._limits.unheard_s
         return self._limits.probe_interval_s
 
-    def _note_process(
-        self, record: TargetState, outcome: CheckOutcome, now_s: float
-    ) -> None:
-        """Record what a failed check says of the target's process."""
-        if outcome is CheckOutcome.REFUSED:
-            self._restarts.note_refused(record.target, now_s)
-            return
-        if outcome is not CheckOutcome.UNREACHABLE:
-            # The process, or at least its host, has accepted the connection.
-            record.unreachable_checks = 0
-            return
-        record.unreachable_checks += 1
-        is_lost = (
-            record.is_suspected
-            and record.unreachable_checks >= self._limits.unreachable_checks
-            and self._have_others_answered(record)
-        )
-        if is_lost:
-            self._restarts.note_lost(record.target, now_s)
+    def _is_path_sound(self, record: TargetState, now_s: float) -> bool:
+        """Return whether a refusal must have come from the target's host.
 
-    def _have_others_answered(self, record: TargetState) -> bool:
-        """Return whether another target has answered during a suspicion.
-
-        If none has, this instance may have been cut off itself.
+        A cut between zones, or of this instance, may refuse connections too.
+        So only targets of the own zone count, and only while others of it
+        answer.
         """
+        if record.zone != self._zone:
+            return False
+        oldest_s = now_s - self._limits.evidence_age_s
         return any(
-            other.answered_s > record.suspected_s
+            other.answered_s >= oldest_s
             for other in self._records.values()
-            if other is not record
+            if other is not record and other.zone == self._zone
         )
 
     def _hear_silent(
--- a/siskinproxy/entry/responsiveness_state.py
+++ b/siskinproxy/entry/responsiveness_state.py
@@ -79,10 +79,6 @@
     unheard_s : float
         Time without any evidence from which on an instance checks a suspected
         target itself, in seconds.
-    unreachable_checks : int
-        Checks in succession for which the host of a suspected target has to be
-        unreachable until its process may have ended. Fewer may be due to lost
-        packets.
     """
 
     unanswered: int = 2
@@ -95,7 +91,6 @@
     rank_delay_s: float = 0.15
     relapse_s: float = 5.0
     unheard_s: float = 10.0
-    unreachable_checks: int = 2
 
 
 class SuspicionChange(msgspec.Struct, frozen=True):
@@ -122,8 +117,7 @@
 
     `unanswered` is the number of consecutive unanswered openings of this
     instance, `witnesses` the time at which each witness sent what was not
-    answered, `failed_checks` the number of failed checks in a row, and
-    `unreachable_checks` that of checks whose host was unreachable.
+    answered, `failed_checks` the number of failed checks in a row.
     `answered_s` is the time of the last answer of any kind, `served_s` that of
     the last one to an opening of this instance.
     """
@@ -142,7 +136,6 @@
         'suspected_s',
         'target',
         'unanswered',
-        'unreachable_checks',
         'witnesses',
     )
 
@@ -150,7 +143,6 @@
         self.target = target
         self.started_unix_ms = target.record.started_unix_ms
         self.unanswered = 0
-        self.unreachable_checks = 0
         self.answered_s: float = -1
         self.served_s: float = -1
         self.suspected_s: float = -1
@@ -200,7 +192,6 @@
             return False
         was_suspected = self.is_suspected
         self.unanswered = 0
-        self.unreachable_checks = 0
         self.is_refused = False
         self.suspected_s = -1
         self.doubted_until_s = -1
--- a/siskinproxy/entry/restarts.py
+++ b/siskinproxy/entry/restarts.py
@@ -8,12 +8,10 @@
 - From the refusal on, the target counts as cold.
 - From its first answer on, it counts as cold for the warm-up of its service.
 
-Unlike a timeout, a refusal does not depend on the path, so instances of all zones
-are told: those of another zone may not have noticed the end, and the limit on the
-flows of cold targets holds for all instances together. A host that takes no
-connections may have lost power, or the path to it may be cut. The same then
-holds in the zone of the instances that found out, since they can't tell. An entry
-with a later start replaces all that is known here.
+Only instances of the target's zone find out, since a cut between zones may refuse
+connections as well. They tell the instances of all zones, which may not have
+noticed the end: the limit on the flows of cold targets holds for all instances
+together. An entry with a later start replaces all that is known here.
 """
 
 from collections.abc import Callable
@@ -48,12 +46,10 @@
     """What is known of the process of a target; times in seconds, -1 if never.
 
     `started_unix_ms` is that of the entry, `ended_s` the time of the last
-    refusal or lost connection, `returned_s` that of the first answer after
-    one. `is_refused` tells whether there was a refusal.
+    refusal, `returned_s` that of the first answer after one.
     """
 
     started_unix_ms: int
-    is_refused: bool = False
     ended_s: float = -1
     returned_s: float = -1
 
@@ -99,12 +95,7 @@
     def note_refused(self, target: KnownTarget, now_s: float) -> None:
         """Record that the host of a target has refused a connection."""
         self._outgoing[target.name, Finding.ENDED] = now_s
-        self._end(target, now_s, 'own check', is_refused=True)
-
-    def note_lost(self, target: KnownTarget, now_s: float) -> None:
-        """Record that the host of a target takes no connections."""
-        self._outgoing[target.name, Finding.LOST] = now_s
-        self._end(target, now_s, 'own check', is_refused=False)
+        self._end(target, now_s, 'own check')
 
     def note_answered(
         self, target: KnownTarget, answered_s: float, source: str = ''
@@ -126,7 +117,7 @@
         process = self._process_of(target)
         if not process.is_ended or answered_s <= process.ended_s:
             return
-        if not source and process.is_refused:
+        if not source:
             self._outgoing[target.name, Finding.RETURNED] = answered_s
         self._return(target, answered_s, source or 'own')
 
@@ -146,7 +137,7 @@
         target : KnownTarget
             Target.
         finding : Finding
-            ``ENDED``, ``RETURNED`` or ``LOST``.
+            ``ENDED`` or ``RETURNED``.
         found_s : float
             Time of the finding, in seconds.
         source : str
@@ -165,8 +156,7 @@
         if finding is Finding.RETURNED:
             self._return(target, found_s, source)
         else:
-            is_refused = finding is Finding.ENDED
-            self._end(target, found_s, source, is_refused=is_refused)
+            self._end(target, found_s, source)
 
     def forget(self, name: str) -> None:
         """Delete what is known of the target with this name."""
@@ -180,30 +170,18 @@
             self._processes[target.name] = process
         return process
 
-    def _end(
-        self,
-        target: KnownTarget,
-        ended_s: float,
-        source: str,
-        *,
-        is_refused: bool,
-    ) -> None:
+    def _end(self, target: KnownTarget, ended_s: float, source: str) -> None:
         process = self._process_of(target)
         is_first = not process.is_ended
         process.ended_s = ended_s
-        process.is_refused = process.is_refused or is_refused
         target.unproven_until_s = ended_s + ENDED_MEMORY_S
         if is_first:
-            self._report(
-                'target_process_ended', target, source, is_refused=is_refused
-            )
+            self._report('target_process_ended', target, source)
 
     def _return(
         self, target: KnownTarget, answered_s: float, source: str
     ) -> None:
-        process = self._process_of(target)
-        process.returned_s = answered_s
-        process.is_refused = False
+        self._process_of(target).returned_s = answered_s
         warmup_s: float = 0
         if self._warmup_s_of is not None:
             warmup_s = self._warmup_s_of(target.record)
