Install the handler of SIGHUP after those of the other signals

It waits until SIGHUP is handled and then sends SIGINT, but SIGHUP was the first of the three handlers, so SIGINT could arrive before its own was installed and end the process as an interrupt. With SIGHUP last, the other two are in place when it is seen. The test is unchanged.

--- a/siskinproxy/entry/startup.py
+++ b/siskinproxy/entry/startup.py
@@ -38,9 +38,10 @@
     early stop has nothing to finish.
     """
     gc.disable()
-    signal.signal(signal.SIGHUP, _note)
     signal.signal(signal.SIGTERM, _end)
     signal.signal(signal.SIGINT, _end)
+    # Last: whoever sees this handler can rely on the others.
+    signal.signal(signal.SIGHUP, _note)
 
 
 def finish() -> None:
