--- a/siskinproxy/soak/odd_entries.py
+++ b/siskinproxy/soak/odd_entries.py
@@ -15,6 +15,7 @@
     encode_instance,
 )
 from siskinproxy.entry.records import Address
+from siskinproxy.platform.records import TargetEntry
 from siskinproxy.soak.records import SERVICES, TargetDescription, target_item
 
 __all__ = ('ODD_ITEMS',)
@@ -27,6 +28,12 @@
 _HUGE_NUMBER: Final = 10**400
 _NESTED: Final = b'[' * 100_000 + b']' * 100_000
 _MARK: Final = 'NESTED'
+#: Stored name of the time for which a target is cold.
+_COLD_FIELD: Final = next(
+    field.encode_name
+    for field in msgspec.structs.fields(TargetEntry)
+    if field.name == 'cold_ms'
+)
 
 
 def _target(**changes: Any) -> tuple[str, bytes]:
@@ -54,7 +61,7 @@
 ODD_ITEMS: Final = (
     _target(slots=_HUGE_NUMBER),
     _target(address='127.0.0.1:70000'),
-    _target(warmup_left_ms=1e308),
+    _target(**{_COLD_FIELD: 1e308}),
     _target(other=_MARK),
     (_target()[0], _NESTED),
     _instance(port=70000),
