Show that a target without power counts as warm after its return

Cause: only a refused connection shows that a target's process has ended; a host without power refuses none, and its entry is that of the earlier process while the store is down.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -126,6 +126,7 @@
         self.events = []
         self.rev = 1
         self.leases = {}
+        self.is_silent = False
         self._last_lease = 1000
         self._changed = asyncio.Event()
         self._server = None
@@ -193,6 +194,8 @@
                 body = await reader.readexactly(length)
                 method, url, _ = head.split(' ', 2)
                 await asyncio.sleep(0.004)
+                while self.is_silent:
+                    await asyncio.sleep(0.01)
                 status, answer = await self._answer(method, url, body)
                 data = json.dumps(answer).encode()
                 writer.write(
@@ -364,9 +367,29 @@
 
     close = crash
 
+    async def go_dark(self):
+        """Lose power: packets and connections get no answer, not even a reset."""
+        await self.crash()
+        await asyncio.sleep(0)
+        self._dark = [socket.socket() for _ in range(3)]
+        listener = self._dark[0]
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self.host, self.net.target_port))
+        listener.listen(0)
+        for filler in self._dark[1:]:
+            # They fill the queue, so that other connections hang.
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.net.target_port))
+
+    def power_up(self):
+        """End the time without power."""
+        for each in self._dark:
+            each.close()
+
     async def _announce(self):
         while True:
-            self.net.store.put(self.key, self.entry())
+            if not self.net.store.is_silent:
+                self.net.store.put(self.key, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _check(self, reader, writer):
