Replace bounds that can't be used instead of ending the process

One bound in the settings had become a fraction.

Cause: four bounds were accepted as integers only. A reload kept the old ones, but each new process ended with code 2, and all instances get the same file. The same held for flags, values out of range, fields without a value (the file was no TOML then), the bandwidth and the seeds.

Change: keys that a platform fills in are tolerant: a number out of bounds becomes the nearest bound, a missing value or a flag the default, a seed that is no address is left out, each with a log line. Start, restart and reload share the function. Bounds are floats.

--- a/siskinproxy/balancer/settings_reference.py
+++ b/siskinproxy/balancer/settings_reference.py
@@ -31,7 +31,13 @@
 
 An entry process reads a file of its own, with the same checks. SIGHUP reads it
 again: bounds are applied, other sections need a restart, and a wrong file
-leaves the earlier settings in force."""
+leaves the earlier settings in force.
+
+Bounds, the bandwidth and the seeds come from the platform, equally on all
+instances, so a wrong one ends no process, neither at a start nor at a reload: a
+number out of bounds is replaced by the nearest bound, a missing value or a flag
+by the default, and a seed that is no address is left out. Each is logged as
+`settings_replaced`. A text in place of a number ends the process."""
 
 _TABLE_HEADER: Final = """\
 | key | value | default | meaning |
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -268,6 +268,19 @@
         self._stopped.wait()
         self.supervisor.raise_failure()
 
+    def report_replaced(self, exc: SettingsError, used: object) -> None:
+        """Report a value of the settings that can't be used.
+
+        Parameters
+        ----------
+        exc : SettingsError
+            What is wrong with it.
+        used : object
+            Value that is used in its place.
+        """
+        self.log.error('settings_replaced', reason=str(exc), used=used)
+        self.audit.keep('settings_replaced', str(exc))
+
     def close(self) -> None:
         """Stop the greenlets and servers; close sockets, store and log."""
         gevent.killall(self._greenlets)
@@ -565,7 +578,9 @@
     def _on_reload_signal(self) -> None:
         """Read the settings file again; keep the settings if it is invalid."""
         try:
-            new_cfg = read_settings(self._path, EntrySettings)
+            new_cfg = read_settings(
+                self._path, EntrySettings, self.report_replaced
+            )
         except SettingsError as exc:
             self.log.error('settings_rejected', reason=str(exc))
             self.audit.keep('settings_rejected', str(exc))
--- a/siskinproxy/entry/settings.py
+++ b/siskinproxy/entry/settings.py
@@ -26,14 +26,23 @@
 _MAX_PORT: Final = 65535
 
 
+#: Longest time between two announcements of a target, in milliseconds. Targets
+#: of a returned zone count as cold for twice that time.
+_MAX_HEARTBEAT_MS: Final = 60_000
+_MAX_TIME_S: Final = 3600
+_MAX_TIME_MS: Final = 1000 * _MAX_TIME_S
+
+
 def _seconds(description: str) -> msgspec.Meta:
-    """Describe a key that holds a time of up to an hour, in seconds."""
-    return describe_key(description, 's', ge=0, le=3600)
+    """Describe a bound of up to an hour, in seconds."""
+    return describe_key(description, 's', ge=0, le=_MAX_TIME_S, tolerant=True)
 
 
-def _milliseconds(description: str) -> msgspec.Meta:
-    """Describe a key that holds a time of up to an hour, in milliseconds."""
-    return describe_key(description, 'ms', ge=0, le=3_600_000)
+def _milliseconds(
+    description: str, longest_ms: int = _MAX_TIME_MS
+) -> msgspec.Meta:
+    """Describe a bound of up to an hour, in milliseconds."""
+    return describe_key(description, 'ms', ge=0, le=longest_ms, tolerant=True)
 
 
 class EntryIdentity(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,7 +59,13 @@
     ]
     link_mbps: Annotated[
         float,
-        describe_key('bandwidth of its link', 'Mbit/s', ge=0, le=1_000_000),
+        describe_key(
+            'bandwidth of its link',
+            'Mbit/s',
+            ge=0,
+            le=1_000_000,
+            tolerant=True,
+        ),
     ] = 0
 
 
@@ -91,39 +106,53 @@
         describe_key(
             'instances to ask while the store does not answer',
             form=ENDPOINT_FORM,
+            tolerant=True,
         ),
     ] = ()
 
 
 class EntryBounds(msgspec.Struct, frozen=True, kw_only=True):
-    """Section ``bounds``: what the platform allows and expects."""
+    """Section ``bounds``: what the platform allows and expects.
+
+    The default of a bound that the platform does not state is the tightest one
+    of its deployments, so that the bound is kept there.
+    """
 
     heartbeat_ms: Annotated[
-        int, _milliseconds('time between two announcements of a target')
-    ]
+        float,
+        _milliseconds(
+            'time between two announcements of a target', _MAX_HEARTBEAT_MS
+        ),
+    ] = 1200
     drain_ms: Annotated[
-        int, _milliseconds('time in which a leaving target gets its last flow')
-    ]
+        float,
+        _milliseconds('time in which a leaving target gets its last flow'),
+    ] = 3000
     config_ms: Annotated[
-        int, _milliseconds('time in which a configuration is in force')
-    ]
+        float, _milliseconds('time in which a configuration is in force')
+    ] = 3000
     zone_out_ms: Annotated[
-        int, _milliseconds('time after which a zone taken out gets nothing')
-    ]
+        float, _milliseconds('time after which a zone taken out gets nothing')
+    ] = 3000
     stop_s: Annotated[
         float, _seconds('time between the signal to stop and a forced end')
-    ]
-    flow_life_s: Annotated[float, _seconds('longest life of a flow')]
+    ] = 6
+    flow_life_s: Annotated[float, _seconds('longest life of a flow')] = 60
     cold_factor: Annotated[
         float,
         describe_key(
-            'multiple of the rate that a cold target bears', ge=0, le=100
+            'multiple of the rate that a cold target bears',
+            ge=0,
+            le=100,
+            tolerant=True,
         ),
-    ]
+    ] = 1
     cold_slack: Annotated[
         float,
-        describe_key('requests a second beyond that rate', ge=0, le=1000),
-    ]
+        describe_key(
+            'requests a second beyond that rate', ge=0, le=1000, tolerant=True
+        ),
+    ] = 1
 
 
 class EntryLoad(msgspec.Struct, frozen=True, kw_only=True):
--- a/siskinproxy/platform/entry_program.py
+++ b/siskinproxy/platform/entry_program.py
@@ -2,12 +2,17 @@
 
 import sys
 from contextlib import closing
+from typing import Any
 
 from siskinproxy.entry.cluster_state import StoreSchema
 from siskinproxy.entry.process import EntryProcess
 from siskinproxy.entry.records import parse_endpoint
 from siskinproxy.entry.settings import EntrySettings
-from siskinproxy.errors import EXIT_GREENLET_FAILED, GreenletFailedError
+from siskinproxy.errors import (
+    EXIT_GREENLET_FAILED,
+    GreenletFailedError,
+    SettingsError,
+)
 from siskinproxy.platform.http_store import HttpStore
 from siskinproxy.platform.packets import PlatformCodec
 from siskinproxy.platform.records import WATCHED_PREFIX, decode_item
@@ -35,7 +40,13 @@
     SystemExit
         The settings are wrong, or the process has given itself up.
     """
-    cfg = run_or_exit(read_settings, path, EntrySettings)
+    replaced: list[tuple[SettingsError, Any]] = []
+    cfg = run_or_exit(
+        read_settings,
+        path,
+        EntrySettings,
+        lambda exc, used: replaced.append((exc, used)),
+    )
     store = HttpStore(parse_endpoint(cfg.store.address), STORE_TIMEOUT_S)
     caller_port = parse_endpoint(cfg.listeners.packet).port
     process = EntryProcess(
@@ -43,6 +54,8 @@
     )
     with closing(process):
         process.start()
+        for fault, used in replaced:
+            process.report_replaced(fault, used)
         try:
             process.wait()
         except GreenletFailedError as exc:
--- a/siskinproxy/settings_file.py
+++ b/siskinproxy/settings_file.py
@@ -3,8 +3,13 @@
 A settings struct has a field for each section or key; `describe_key` gives a
 key its bounds, unit and description. A wrong entry raises `SettingsError`,
 which names the file, the key, and the expected and found value.
+
+The value of a key that is `tolerant` is filled in by a platform, equally on all
+instances, so that an error would stop all of them. If it is missing, a flag or
+out of bounds, another one is used in its place, and the error is only reported.
 """
 
+import math
 import sys
 import tomllib
 from collections.abc import Callable, Iterator, Mapping
@@ -33,6 +38,7 @@
     'OPTIONAL_HOST_FORM',
     'CheckedSettings',
     'Conflict',
+    'ReplacementListener',
     'SettingsField',
     'describe_key',
     'describe_type',
@@ -54,6 +60,7 @@
 _UNIT: Final = 'unit'
 _FORMAT: Final = 'format'
 _SECRET: Final = 'secret'
+_TOLERANT: Final = 'tolerant'
 
 #: Format of a host's address.
 HOST_FORM: Final = 'IPv4 address'
@@ -74,6 +81,7 @@
     min_length: int | None = None,
     form: str = '',
     secret: bool = False,
+    tolerant: bool = False,
 ) -> msgspec.Meta:
     """Return the metadata of a settings key.
 
@@ -93,13 +101,23 @@
         Format of a text, such as ``ENDPOINT_FORM``; empty for any text.
     secret : bool
         Whether error messages must not show the value.
+    tolerant : bool
+        Whether a value that can't be used is replaced: a missing one or a flag
+        by the default, which the key must have, a number out of bounds by the
+        nearest bound. Entries of a list that are not in their format are left
+        out.
 
     Returns
     -------
     msgspec.Meta
         Metadata for ``Annotated``.
     """
-    extra = {_UNIT: unit, _FORMAT: form, _SECRET: secret}
+    extra = {
+        _UNIT: unit,
+        _FORMAT: form,
+        _SECRET: secret,
+        _TOLERANT: tolerant,
+    }
     return msgspec.Meta(
         ge=ge,
         le=le,
@@ -135,6 +153,13 @@
         """Yield the keys whose values contradict those of other keys."""
 
 
+class ReplacementListener(Protocol):
+    """Gets the values of tolerant keys that can't be used."""
+
+    def __call__(self, exc: SettingsError, used: Any, /) -> None:
+        """Report an error with the value that is used in its place."""
+
+
 class SettingsField(NamedTuple):
     """Key or section of a settings struct, with its metadata.
 
@@ -170,6 +195,11 @@
         """Whether error messages must not show the value."""
         return (self.meta.extra or {}).get(_SECRET, False)
 
+    @property
+    def is_tolerant(self) -> bool:
+        """Whether a value that can't be used is replaced."""
+        return (self.meta.extra or {}).get(_TOLERANT, False)
+
     @property
     def is_section(self) -> bool:
         """Whether the value is a section with keys of its own."""
@@ -227,7 +257,11 @@
     return f'{noun} {field.unit}'.rstrip()
 
 
-def read_settings(path: str, settings: type[_Settings]) -> _Settings:
+def read_settings(
+    path: str,
+    settings: type[_Settings],
+    on_replaced: ReplacementListener | None = None,
+) -> _Settings:
     """Read and check a settings file.
 
     Parameters
@@ -236,6 +270,9 @@
         TOML file.
     settings : type of msgspec.Struct
         Struct whose fields are the sections or keys.
+    on_replaced : callable, optional
+        Called for each value of a tolerant key that can't be used, with the
+        error and the value that is used in its place.
 
     Returns
     -------
@@ -249,7 +286,8 @@
         wrong type, out of bounds or not in its format, or two values
         contradict each other.
     """
-    found = _convert_section(path, '', _load_toml(path), settings)
+    reader = _Reader(path, on_replaced or _ignore_replacement)
+    found = reader.convert_section('', _load_toml(path), settings)
     if isinstance(found, CheckedSettings):
         conflict = next(found.find_conflicts(), None)
         if conflict is not None:
@@ -314,43 +352,100 @@
         ) from exc
 
 
-def _convert_section(
-    path: str,
-    prefix: str,
-    table: Mapping[str, Any],
-    settings: type[_Settings],
-) -> _Settings:
-    fields = {field.name: field for field in iterate_fields(settings)}
-    unknown = [key for key in table if key not in fields]
-    if unknown:
-        first = f'{prefix}{_escape_for_message(unknown[0])}'
-        known = f'one of {", ".join(fields)}'
-        raise SettingsError(path, first, known, 'unknown key')
-    values: dict[str, Any] = {}
-    for name, field in fields.items():
-        key = f'{prefix}{name}'
-        if name in table:
-            values[name] = _convert_value(path, key, table[name], field)
-        elif field.default is msgspec.NODEFAULT:
-            raise SettingsError(path, key, describe_type(field), 'nothing')
-    return settings(**values)
-
-
-def _convert_value(
-    path: str,
-    key: str,
-    value: Any,
-    field: SettingsField,
-) -> Any:
-    if field.is_section and isinstance(value, dict):
-        return _convert_section(path, f'{key}.', value, field.kind)
+class _Reader:
+    """Converts the tables of a settings file into structs.
+
+    Parameters
+    ----------
+    path : str
+        Settings file, for errors.
+    on_replaced : callable
+        Gets the values of tolerant keys that can't be used.
+    """
+
+    def __init__(self, path: str, on_replaced: ReplacementListener) -> None:
+        self._path = path
+        self._on_replaced = on_replaced
+
+    def convert_section(
+        self, prefix: str, table: Mapping[str, Any], settings: type[_Settings]
+    ) -> _Settings:
+        """Return a section; `prefix` precedes its keys in errors."""
+        fields = {field.name: field for field in iterate_fields(settings)}
+        unknown = [key for key in table if key not in fields]
+        if unknown:
+            first = f'{prefix}{_escape_for_message(unknown[0])}'
+            known = f'one of {", ".join(fields)}'
+            raise SettingsError(self._path, first, known, 'unknown key')
+        values: dict[str, Any] = {}
+        for name, field in fields.items():
+            key = f'{prefix}{name}'
+            if name in table:
+                values[name] = self._convert_value(key, table[name], field)
+            elif field.is_tolerant or field.default is msgspec.NODEFAULT:
+                exc = SettingsError(
+                    self._path, key, describe_type(field), 'nothing'
+                )
+                if not field.is_tolerant:
+                    raise exc
+                self._on_replaced(exc, field.default)
+        return settings(**values)
+
+    def _convert_value(self, key: str, value: Any, field: SettingsField) -> Any:
+        if field.is_section and isinstance(value, dict):
+            return self.convert_section(f'{key}.', value, field.kind)
+        usable = _replace_unusable(value, field) if field.is_tolerant else value
+        try:
+            found = msgspec.convert(
+                usable, type=Annotated[field.kind, field.meta]
+            )
+        except (msgspec.ValidationError, RecursionError) as exc:
+            raise _wrong_value(self._path, key, value, field) from exc
+        if not _has_format(found, field.form):
+            raise _wrong_value(self._path, key, value, field)
+        if usable is not value:
+            self._on_replaced(
+                _wrong_value(self._path, key, value, field), found
+            )
+        return found
+
+
+def _ignore_replacement(exc: SettingsError, used: Any, /) -> None:
+    """Ignore a value that was replaced."""
+
+
+def _replace_unusable(value: Any, field: SettingsField) -> Any:
+    """Return what is used in place of the value of a tolerant key.
+
+    A usable value, and one of a type that no platform fills in, is returned as
+    it is.
+    """
+    if isinstance(value, bool):
+        return field.default
+    if isinstance(value, list):
+        kept = [
+            each
+            for each in value
+            if isinstance(each, str) and _has_format(each, field.form)
+        ]
+        if kept != value:
+            return kept
+    lowest, highest = field.meta.ge, field.meta.le
+    is_number = isinstance(value, int | float) and lowest is not None
+    if is_number and _is_representable(value):
+        if value < lowest:
+            return lowest
+        if value > highest:
+            return highest
+    return value
+
+
+def _is_representable(number: float) -> bool:
+    """Return whether a number is finite as a float."""
     try:
-        found = msgspec.convert(value, type=Annotated[field.kind, field.meta])
-    except (msgspec.ValidationError, RecursionError) as exc:
-        raise _wrong_value(path, key, value, field) from exc
-    if not _has_format(found, field.form):
-        raise _wrong_value(path, key, value, field)
-    return found
+        return math.isfinite(number)
+    except OverflowError:
+        return False
 
 
 def _wrong_value(
