Round fractions in a configuration instead of dropping the service

What callers would see: a service whose max_conns is 2000.0 or 2000.5 counted as unusable, so a cold target of it had no warm-up and no limit by its service. A route whose priority is 1.5 got the highest priority.

Change: both are numbers that are rounded down. Values of other types are judged as before.

--- a/siskinproxy/entry/value_bounds.py
+++ b/siskinproxy/entry/value_bounds.py
@@ -25,12 +25,15 @@
     'RatePerS',
     'Seconds',
     'WaitMs',
+    'WholeNumber',
 )
 
 #: Largest signed 64-bit integer: codecs and floats can hold every number up to
 #: it.
 MAX_INTEGER: Final = 2**63 - 1
 MAX_PORT: Final = 65535
+#: Largest number up to which a float holds every whole number.
+_MAX_EXACT: Final = 2**53
 #: Longest name, in characters; names are written to the log.
 MAX_NAME_CHARACTERS: Final = 200
 #: Longest time that an entry may state, in milliseconds: a day.
@@ -44,6 +47,8 @@
 
 #: Whole number of 0 or more that fits into 64 bits with a sign.
 BoundedInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+#: Number of 0 or more that may be written as a fraction; rounded down when used.
+WholeNumber = Annotated[float, msgspec.Meta(ge=0, le=_MAX_EXACT)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
--- a/siskinproxy/platform/records.py
+++ b/siskinproxy/platform/records.py
@@ -48,6 +48,7 @@
     Name,
     RatePerS,
     Seconds,
+    WholeNumber,
 )
 
 __all__ = (
@@ -136,7 +137,7 @@
         _DEFAULT_DEADLINE_MS
     )
     aim_ms: Milliseconds = 0  # latency objective
-    priority: BoundedInt = 0  # 0 is the most important
+    priority: WholeNumber = 0  # 0 is the most important
     service: str = ''  # gets all flows if there is no split
     split: tuple[Any, ...] = ()  # each a ShareEntry
 
@@ -147,7 +148,7 @@
     name: str
     #: HTTP path of the targets' health check.
     health_path: Annotated[str, msgspec.Meta(pattern=_PATH_PATTERN)] = '/'
-    max_conns: BoundedInt = 0  # flows that one target holds
+    max_conns: WholeNumber = 0  # flows that one target holds
     warmup_s: Seconds = 0  # time for which a target is cold after its start
     warmup_per_s: RatePerS = 0  # requests per second to one cold target
 
@@ -390,7 +391,7 @@
         kind=RequestKind.from_text(entry.kind),
         deadline_s=deadline_s,
         objective_s=entry.aim_ms / 1000 or deadline_s,
-        priority=entry.priority,
+        priority=int(entry.priority),
     )
 
 
@@ -477,7 +478,7 @@
     return ServiceRecord(
         name=entry.name,
         health_path=entry.health_path,
-        max_connections=entry.max_conns,
+        max_connections=int(entry.max_conns),
         warmup_s=entry.warmup_s,
         warmup_per_s=entry.warmup_per_s,
     )
--- a/siskinproxy/platform/tests/test_tolerant_records.py
+++ b/siskinproxy/platform/tests/test_tolerant_records.py
@@ -191,6 +191,29 @@
     assert len(cfg.services) == 1 - is_rejected
 
 
+@pytest.mark.parametrize(
+    ('part', 'field', 'attribute'),
+    [
+        ('services', 'max_conns', 'max_connections'),
+        ('routes', 'priority', 'priority'),
+    ],
+)
+@pytest.mark.parametrize(('value', 'used'), [(2.0, 2), (2.5, 2), (0.5, 0)])
+def test_a_fraction_costs_neither_service_nor_priority(
+    part, field, attribute, value, used
+):
+    """Guards against a service without a warm-up since one number is 2000.0.
+
+    A route with a fraction as its priority got the highest one.
+    """
+    changed = copy.deepcopy(CONFIGURATION)
+    changed[part][0][field] = value
+    cfg = decode(changed)
+    assert not cfg.faults
+    found = getattr(getattr(cfg, part)[0], attribute)
+    assert (found, type(found)) == (used, int)
+
+
 @pytest.mark.parametrize(
     ('field', 'value'),
     [
