Count a target that may have lost power as cold until shown otherwise

It had lost power and started again under its id while the store was away.

Cause: only a refused connection counted as the end of a process, and a host without power refuses none. Where neither the earlier nor a new process was shown, the earlier one was assumed.

Change: a silent host, or a connection that breaks off, while others of the zone are heard means that the process may have ended (LOST). The target counts as cold for the warm-up of its service from its first answer on, unless an entry with a later start says more, or a flow that was open before goes on (SAME), or its entry outlives the silence after which the store removes it. If a whole zone was lost at once, one flow speaks for all of it. Instances that start ask others. A late write of an earlier process leaves a target cold.

Why it works: all instances of all zones hold the limit from the first check on, before the evidence that ends the suspicion. Only instances of the target's zone judge, so a cut between zones starves nothing.

--- a/siskinproxy/entry/directory.py
+++ b/siskinproxy/entry/directory.py
@@ -254,14 +254,20 @@
             self._set_cold(known, now_s)
             return self._report(known, TargetChange.ADDED, record, now_s)
         earlier = known.record
+        cold_until_s = known.cold_until_s
         known.record = record
         known.presence = Presence.LISTED
         self._set_cold(known, now_s)
         change = TargetChange.UPDATED
-        if record.started_unix_ms != earlier.started_unix_ms:
+        if record.started_unix_ms > earlier.started_unix_ms:
             change = TargetChange.RESTARTED
             # The entry is that of the new process.
             known.unproven_until_s = 0
+        elif record.started_unix_ms < earlier.started_unix_ms:
+            change = TargetChange.RESTARTED
+            # Written by the earlier process and executed late, or the clock
+            # of the host was set back.
+            known.cold_until_s = max(known.cold_until_s, cold_until_s)
         elif record.is_draining and not earlier.is_draining:
             change = TargetChange.DRAINING
         return self._report(known, change, earlier, now_s)
--- a/siskinproxy/entry/ended_evidence.py
+++ b/siskinproxy/entry/ended_evidence.py
@@ -81,6 +81,31 @@
             self._others_heard_s = self._last_heard[1]
         self._last_heard = (target, now_s)
 
+    def note_progress(
+        self,
+        target: KnownTarget,
+        established_s: float,
+        since_s: float,
+        now_s: float,
+    ) -> None:
+        """Record new data on a flow that has got data of its target before.
+
+        Parameters
+        ----------
+        target : KnownTarget
+            Target of the flow.
+        established_s : float
+            Time of the caller's first packet on the flow, in seconds.
+        since_s : float
+            Time of the caller's packet before, in seconds.
+        now_s : float
+            Current time in seconds.
+        """
+        self.note_heard(target, now_s)
+        self._responsiveness.note_progress(
+            target, established_s, since_s, now_s
+        )
+
     def note_paused(self, now_s: float) -> None:
         """Let suspicions count only from now on, after a pause."""
         self._paused_s = now_s
--- a/siskinproxy/entry/ended_flows.py
+++ b/siskinproxy/entry/ended_flows.py
@@ -191,12 +191,19 @@
         now_s: float,
     ) -> None:
         latest = flow.latest
-        if latest is None or _is_ahead(head.copy, latest.copy):
+        if latest is None:
+            flow.established_s = now_s
             flow.heard_s = now_s
             self._evidence.note_heard(target, now_s)
+        elif _is_ahead(head.copy, latest.copy):
+            flow.heard_s = now_s
+            self._evidence.note_progress(
+                target, flow.established_s, flow.latest_s, now_s
+            )
         elif latest.copy != head.copy:
             # An older packet, which was overtaken or is sent again.
             return
+        flow.latest_s = now_s
         is_new = latest is None or _is_ahead(_end(head), _end(latest))
         if is_new and head.data_bytes:
             flow.asked_s = now_s
--- a/siskinproxy/entry/evidence.py
+++ b/siskinproxy/entry/evidence.py
@@ -2,7 +2,8 @@
 
 All instances of an availability zone reach a target over the same path, so
 evidence counts in the zone of its reporter only: a cut between two zones is
-not taken for the failure of a target by instances that still reach it.
+not taken for the failure of a target by instances that still reach it. Findings
+on the process of a target count in all zones.
 
 A datagram is `DATAGRAM_PREFIX` and an `EvidenceReport` as a msgpack array.
 """
@@ -12,17 +13,21 @@
 
 import msgspec
 
+from siskinproxy.addresses import is_host_address
 from siskinproxy.entry.value_bounds import (
     DECODING_ERRORS,
     BoundedInt,
     Name,
+    Port,
 )
 
 __all__ = (
     'DATAGRAM_PREFIX',
+    'PROCESS_FINDINGS',
     'Evidence',
     'EvidenceReport',
     'Finding',
+    'ReplyAddress',
     'decode_evidence',
     'encode_evidence',
 )
@@ -42,10 +47,20 @@
     #: A caller has acknowledged the answer to an opening.
     SERVED = 2
     #: The target's host has refused a connection, so its process has ended.
-    #: Unlike the findings above, it counts in all zones.
     ENDED = 3
-    #: The first answer after that; counts in all zones.
+    #: The first answer after that, or after `LOST`.
     RETURNED = 4
+    #: The host was silent, or a connection broke, while others answered: its
+    #: process may have ended.
+    LOST = 5
+    #: The process is the one of before `LOST`.
+    SAME = 6
+
+
+#: Findings on the process of a target; they count in all zones.
+PROCESS_FINDINGS: Final = frozenset(
+    (Finding.ENDED, Finding.RETURNED, Finding.LOST, Finding.SAME)
+)
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +85,21 @@
     age_ms: BoundedInt
 
 
+class ReplyAddress(msgspec.Struct, frozen=True, array_like=True):
+    """Address of an instance that asks others.
+
+    Parameters
+    ----------
+    host : str
+        IPv4 address.
+    port : int
+        UDP port.
+    """
+
+    host: Name
+    port: Port
+
+
 class EvidenceReport(msgspec.Struct, frozen=True, array_like=True):
     """Evidence of one instance.
 
@@ -79,11 +109,15 @@
         Name and availability zone of the instance.
     evidence : tuple of Evidence
         Findings since the previous report.
+    reply_to : ReplyAddress or None
+        Where to send what is known of the processes of targets, if the
+        instance asks for it.
     """
 
     instance: Name
     zone: Name
     evidence: tuple[Evidence, ...]
+    reply_to: ReplyAddress | None = None
 
 
 _DECODER: Final = msgspec.msgpack.Decoder(EvidenceReport)
@@ -97,6 +131,9 @@
 def decode_evidence(datagram: bytes) -> EvidenceReport | None:
     """Return the report in a datagram, None if it can't be decoded."""
     try:
-        return _DECODER.decode(datagram[len(DATAGRAM_PREFIX) :])
+        report = _DECODER.decode(datagram[len(DATAGRAM_PREFIX) :])
     except DECODING_ERRORS:
         return None
+    if report.reply_to and not is_host_address(report.reply_to.host):
+        return None
+    return report
--- a/siskinproxy/entry/failure_detector.py
+++ b/siskinproxy/entry/failure_detector.py
@@ -10,6 +10,7 @@
 from siskinproxy.entry.directory import KnownTarget
 from siskinproxy.entry.evidence import (
     EvidenceReport,
+    ReplyAddress,
     decode_evidence,
     encode_evidence,
 )
@@ -39,6 +40,16 @@
 MAX_EVIDENCE_BURST_BYTES: Final = 32_000
 #: IPv4 and UDP header.
 _UDP_OVERHEAD_BYTES: Final = 28
+#: Queries of an instance that starts for what others know of the processes of
+#: targets, their interval, and the time in which others have to become known,
+#: in seconds. A query goes to so many instances of the own zone, or of others
+#: if there are none.
+_QUERIES: Final = 3
+_QUERY_INTERVAL_S: Final = 0.25
+_QUERY_PERIOD_S: Final = 10.0
+_QUERIED_INSTANCES: Final = 3
+#: Findings in a datagram of a reply, so that it stays below 64 KB.
+_FINDINGS_PER_REPLY: Final = 1000
 
 
 class EventSink(Protocol):
@@ -92,6 +103,8 @@
         Tells the path of each service's health page.
     send : callable
         Sends a datagram to another instance.
+    record : InstanceRecord
+        This instance.
     list_members : callable
         Returns the instances of the zone, this one included.
     list_relays : callable
@@ -110,6 +123,7 @@
         responsiveness: Responsiveness,
         routes: RouteTable,
         send: Callable[[bytes, Address], None],
+        record: InstanceRecord,
         list_members: Callable[[], Iterable[InstanceRecord]],
         list_relays: Callable[[], Iterable[InstanceRecord]],
         counters: Counter[str],
@@ -119,11 +133,15 @@
         self._responsiveness = responsiveness
         self._routes = routes
         self._send = send
+        self._record = record
         self._list_members = list_members
         self._list_relays = list_relays
         self._counters = counters
         self._events = events
         self._clock = clock
+        self._queries_left = _QUERIES
+        self._next_query_s: float = 0
+        self._give_up_s: float | None = None
         self._woken = Event()
         self._running: set[gevent.Greenlet] = set()
         self._greenlet: gevent.Greenlet | None = None
@@ -167,6 +185,8 @@
         if report is None:
             return False
         self._counters['evidence_received'] += 1
+        if report.reply_to is not None:
+            self._reply(report.reply_to, now_s)
         self._report(self._responsiveness.apply_report(report, now_s))
         self.wake()
         return True
@@ -178,14 +198,56 @@
             gevent.sleep(_BATCH_DELAY_S)
             now_s = self._clock()
             self._start_checks(now_s)
+            self._ask_for_processes(now_s)
             if self._bytes.balance(now_s) > 0:
                 self._send_evidence(now_s)
 
     def _wait_s(self) -> float:
         due_s = self._responsiveness.next_check_s
+        longest_s = _QUERY_INTERVAL_S if self._queries_left else _IDLE_WAIT_S
         if due_s is None:
-            return _IDLE_WAIT_S
-        return min(max(due_s - self._clock(), 0), _IDLE_WAIT_S)
+            return longest_s
+        return min(max(due_s - self._clock(), 0), longest_s)
+
+    def note_fleet_known(self) -> None:
+        """Ask others now, since their addresses are known from now on."""
+        self._woken.set()
+
+    def _ask_for_processes(self, now_s: float) -> None:
+        """Ask others for the processes of targets, if this instance starts.
+
+        A target that started again before this instance did may still be cold,
+        although its entry says otherwise.
+        """
+        if not self._queries_left or now_s < self._next_query_s:
+            return
+        if self._give_up_s is None:
+            self._give_up_s = now_s + _QUERY_PERIOD_S
+        if now_s > self._give_up_s:
+            self._queries_left = 0
+            return
+        own = self._record
+        members = [
+            each for each in self._list_members() if each.name != own.name
+        ]
+        others = members or list(self._list_relays())
+        if others:
+            self._queries_left -= 1
+            self._next_query_s = now_s + _QUERY_INTERVAL_S
+            address = ReplyAddress(own.host, own.port)
+            report = EvidenceReport(own.name, own.zone, (), address)
+            self._send_report(report, others[:_QUERIED_INSTANCES])
+
+    def _reply(self, asker: ReplyAddress, now_s: float) -> None:
+        """Send what is known of the processes of targets."""
+        found = self._responsiveness.describe_processes(now_s)
+        for first in range(0, len(found), _FINDINGS_PER_REPLY):
+            part = found[first : first + _FINDINGS_PER_REPLY]
+            report = EvidenceReport(self._record.name, self._record.zone, part)
+            datagram = encode_evidence(report)
+            self._send(datagram, Address(asker.host, asker.port))
+            self._bytes.use(len(datagram) + _UDP_OVERHEAD_BYTES)
+            self._counters['evidence_sent'] += 1
 
     def _start_checks(self, now_s: float) -> None:
         most = min(
--- a/siskinproxy/entry/flows.py
+++ b/siskinproxy/entry/flows.py
@@ -77,6 +77,11 @@
     latest : PacketHeader or None
         Newest header of the caller on the open flow; None while it is not
         answered, or if resets of ended targets are off.
+    latest_s : float
+        Time of the caller's last packet that was not older than `latest`, in
+        seconds.
+    established_s : float
+        Time of its first packet on the open flow, in seconds; -1 if unknown.
     heard_s, asked_s : float
         Time at which the caller last acknowledged new data of the target, and
         time at which it last sent new data, in seconds; -1 if never.
@@ -88,6 +93,7 @@
     __slots__ = (
         'asked_s',
         'counted_until_s',
+        'established_s',
         'expires_s',
         'head',
         'heard_s',
@@ -97,6 +103,7 @@
         'is_reset',
         'key',
         'latest',
+        'latest_s',
         'opened_s',
         'packet',
         'request_ack',
@@ -137,6 +144,8 @@
         self.request_ack = 0
         self.requests = 0
         self.latest: PacketHeader | None = None
+        self.latest_s: float = -1
+        self.established_s: float = -1
         self.heard_s: float = -1
         self.asked_s: float = -1
         self.is_reset = False
--- a/siskinproxy/entry/follower.py
+++ b/siskinproxy/entry/follower.py
@@ -183,6 +183,14 @@
         """
         return None if self.confirmed_s < 0 else now_s - self.confirmed_s
 
+    @property
+    def in_touch_since_s(self) -> float:
+        """Time at which the store was regained, in seconds; -1 if never lost.
+
+        While it is lost, `confirmed_s` does not rise.
+        """
+        return -1 if self._regained_s is None else self._regained_s
+
     def is_stale(self, now_s: float) -> bool:
         """Return whether no source has heard from the store lately."""
         return self._is_stale(self.age_s(now_s))
--- a/siskinproxy/entry/process.py
+++ b/siskinproxy/entry/process.py
@@ -221,6 +221,7 @@
             self.responsiveness,
             self.routes,
             self._exchange.send_to,
+            record,
             self._zone_members,
             self._zone_relays,
             self.engine.counters,
@@ -351,6 +352,12 @@
                     'target_changed', target=target.name, change='not_returned'
                 )
             self.cluster_state.expire(now_s)
+            self.responsiveness.note_listed(
+                now_s,
+                self.follower.in_touch_since_s,
+                self.follower.confirmed_s,
+                self.cluster_state.restore_timing.target_silence_s,
+            )
             self._registration.check(is_away=self.follower.is_stale(now_s))
             self._update_fleet(now_s)
             self._run_timer()
@@ -358,6 +365,7 @@
     def _begin_to_serve(self) -> None:
         """Read packets, and pass the readiness check from now on."""
         self._update_fleet(time.monotonic())
+        self._detector.note_fleet_known()
         self.socket.start()
         if self.readiness is Readiness.STARTING:
             # A stop that was requested during the start stays in force.
@@ -445,6 +453,8 @@
     def _on_report(self, report: LoadReport, now_s: float) -> None:
         """Apply the load report of another instance."""
         is_own_zone = report.zone == self.record.zone
+        if is_own_zone:
+            self.responsiveness.note_peer_heard(now_s)
         # With many instances, another zone's report covers a few of its flows.
         if is_own_zone or not self.loads.is_sampled:
             self.loads.apply_report(report, now_s)
--- a/siskinproxy/entry/responsiveness.py
+++ b/siskinproxy/entry/responsiveness.py
@@ -30,7 +30,12 @@
     Presence,
     TargetDirectory,
 )
-from siskinproxy.entry.evidence import EvidenceReport, Finding
+from siskinproxy.entry.evidence import (
+    PROCESS_FINDINGS,
+    Evidence,
+    EvidenceReport,
+    Finding,
+)
 from siskinproxy.entry.records import TargetRecord
 from siskinproxy.entry.responsiveness_state import (
     MS_PER_S,
@@ -57,8 +62,13 @@
 _CHECKING_RANKS: Final = 3
 #: Outcomes after which the host would reset a caller.
 _BROKEN: Final = frozenset((CheckOutcome.REFUSED, CheckOutcome.RESET))
-#: Findings on the process of a target, which count in all zones.
-_PROCESS_FINDINGS: Final = frozenset((Finding.ENDED, Finding.RETURNED))
+#: Outcomes after which another process may answer the next check.
+_POSSIBLE_ENDS: Final = frozenset(
+    (CheckOutcome.UNREACHABLE, CheckOutcome.RESET)
+)
+#: Time for which data of a target may be on its way to a caller, and the
+#: acknowledgment on its way here, in seconds.
+_IN_FLIGHT_S: Final = 0.05
 
 
 class Responsiveness:
@@ -103,6 +113,7 @@
         self._due: set[str] = set()
         self._next_due_s: float | None = None
         self._checked_zones_s: dict[str, float] = {}
+        self._peer_heard_s: float = -1
 
     def has_work(self, now_s: float) -> bool:
         """Return whether a check is due or evidence waits to be sent."""
@@ -176,6 +187,65 @@
             self._outgoing[target.name, Finding.SERVED] = now_s
         return record.clear(now_s, now_s)
 
+    def note_progress(
+        self,
+        target: KnownTarget,
+        established_s: float,
+        since_s: float,
+        now_s: float,
+    ) -> None:
+        """Record that a caller has acknowledged new data on an open flow.
+
+        Parameters
+        ----------
+        target : KnownTarget
+            Target of the flow.
+        established_s : float
+            Time of the caller's first packet on the flow, in seconds.
+        since_s : float
+            Time of the caller's packet before, in seconds.
+        now_s : float
+            Current time in seconds.
+        """
+        record = self._records.get(target.name)
+        if record is not None and record.target is target:
+            record.heard_s = now_s
+            record.heard_flow_s = established_s
+        lost_s = self._restarts.note_progress(
+            target, established_s, since_s, now_s
+        )
+        if lost_s is not None and self._directory is not None:
+            others = [
+                each
+                for each in self._directory.targets()
+                if each is not target
+                and each.record.zone == target.record.zone
+                and each.presence is not Presence.GONE
+            ]
+            self._restarts.note_common_cause(others, lost_s, now_s)
+
+    def note_peer_heard(self, now_s: float) -> None:
+        """Record a datagram of another instance of this zone."""
+        self._peer_heard_s = now_s
+
+    def note_listed(
+        self, now_s: float, since_s: float, confirmed_s: float, silence_s: float
+    ) -> None:
+        """Record that the store has confirmed its entries.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+        since_s : float
+            Time since which the store has been in touch, in seconds.
+        confirmed_s : float
+            Latest time at which it confirmed the entries, in seconds.
+        silence_s : float
+            Time without heartbeats after which it removes an entry, in seconds.
+        """
+        self._restarts.note_listed(now_s, since_s, confirmed_s, silence_s)
+
     def note_unanswered(
         self, target: KnownTarget, sent_s: float, now_s: float
     ) -> tuple[str, ...]:
@@ -251,7 +321,10 @@
             record, now_s
         ):
             self._restarts.note_refused(target, now_s)
+        if outcome in _POSSIBLE_ENDS and self._may_have_ended(record, sent_s):
+            record.lost_s = sent_s
         if record.is_suspected:
+            self._note_lost(record, sent_s)
             self._refreshed[target.name] = sent_s
             self._schedule_repeat(record, now_s)
             return ()
@@ -284,6 +357,8 @@
         if report.instance == self._name:
             return ()
         is_own_zone = report.zone == self._zone
+        if is_own_zone:
+            self.note_peer_heard(now_s)
         changes: list[SuspicionChange] = []
         for evidence in report.evidence:
             target = self._directory.find(
@@ -292,7 +367,7 @@
             if target is None:
                 continue
             found_s = now_s - evidence.age_ms / MS_PER_S
-            if evidence.finding in _PROCESS_FINDINGS:
+            if evidence.finding in PROCESS_FINDINGS:
                 self._restarts.hear(
                     target,
                     evidence.finding,
@@ -347,6 +422,29 @@
             self._name, self._zone, findings, self._records, now_s
         )
 
+    def describe_processes(self, now_s: float) -> tuple[Evidence, ...]:
+        """Return what an instance that starts has to know of processes.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+
+        Returns
+        -------
+        tuple of Evidence
+            Findings in the order in which they have to be applied.
+        """
+        return tuple(
+            Evidence(
+                target.token,
+                target.record.started_unix_ms,
+                finding,
+                max(round(MS_PER_S * (now_s - found_s)), 0),
+            )
+            for target, finding, found_s in self._restarts.list_unproven(now_s)
+        )
+
     def take_reports(
         self, now_s: float
     ) -> tuple[EvidenceReport | None, EvidenceReport | None]:
@@ -479,6 +577,28 @@
             if other is not record and other.zone == self._zone
         )
 
+    def _may_have_ended(self, record: TargetState, sent_s: float) -> bool:
+        """Return whether a failed check may mean the end of a process.
+
+        It does not if the target has sent data since, or if this instance has
+        heard nobody of its zone since: then its own path may be cut.
+        """
+        if record.zone != self._zone:
+            return False
+        has_sent_data = record.heard_s > sent_s + _IN_FLIGHT_S
+        if has_sent_data and record.heard_flow_s < sent_s:
+            return False
+        return self._peer_heard_s >= sent_s or any(
+            other.answered_s >= sent_s
+            for other in self._records.values()
+            if other is not record and other.zone == self._zone
+        )
+
+    def _note_lost(self, record: TargetState, oldest_s: float) -> None:
+        """Report a suspected target whose last check may mean an end."""
+        if record.lost_s >= max(oldest_s, record.answered_s, 0):
+            self._restarts.note_lost(record.target, record.lost_s)
+
     def _hear_silent(
         self, record: TargetState, reporter: str, sent_s: float, now_s: float
     ) -> tuple[str, ...]:
@@ -529,6 +649,7 @@
         if not has_relapsed:
             record.failed_checks = min(record.failed_checks, 1)
         record.suspected_s = now_s
+        self._note_lost(record, now_s - self._limits.evidence_age_s)
         record.doubted_until_s = -1
         record.next_probe_s = now_s + self._probe_interval_s
         if has_relapsed or OWN_CHECK in record.witnesses:
--- a/siskinproxy/entry/responsiveness_state.py
+++ b/siskinproxy/entry/responsiveness_state.py
@@ -119,7 +119,10 @@
     instance, `witnesses` the time at which each witness sent what was not
     answered, `failed_checks` the number of failed checks in a row.
     `answered_s` is the time of the last answer of any kind, `served_s` that of
-    the last one to an opening of this instance.
+    the last one to an opening of this instance, `heard_s` that of the last new
+    data that a caller acknowledged on an open flow, and `heard_flow_s` the time
+    since which that flow is open. `lost_s` is the start of the last check of this
+    instance after which the process may have ended.
     """
 
     __slots__ = (
@@ -127,7 +130,10 @@
         'cleared_s',
         'doubted_until_s',
         'failed_checks',
+        'heard_flow_s',
+        'heard_s',
         'is_refused',
+        'lost_s',
         'next_check_s',
         'next_probe_s',
         'refuted_s',
@@ -145,6 +151,9 @@
         self.unanswered = 0
         self.answered_s: float = -1
         self.served_s: float = -1
+        self.heard_s: float = -1
+        self.heard_flow_s: float = -1
+        self.lost_s: float = -1
         self.suspected_s: float = -1
         self.next_probe_s: float = 0
         self.next_check_s: float | None = None
