Judge a second silence of a target by the first one

What callers would see: a cold target got its full load before the end of its warm-up, or one was spared for a restart of long before.

Cause: the time of the first silence was that of the latest phase, so that a flow opened at the new process, within its warm-up, spoke for the earlier process after another silence. A refused connection, on the other hand, counted for ever.

Evidence: test_a_second_silence_does_not_end_a_warm_up and test_a_silence_long_after_a_restart_is_judged_on_its_own fail before.

Change: a phase begins when the target was last warm; what was seen since then stays in force until it is warm again.

--- a/siskinproxy/entry/restarts.py
+++ b/siskinproxy/entry/restarts.py
@@ -65,7 +65,8 @@
 
     `started_unix_ms` is that of the entry, `ended_s` the time of the last
     refusal, `lost_since_s` and `lost_s` those of the first and the last check of
-    its silent host, `returned_s` that of the first answer after one of these.
+    its silent host since it was last warm, `returned_s` that of the first answer
+    after one of these.
     """
 
     started_unix_ms: int
@@ -345,7 +346,10 @@
             name = 'target_process_ended'
         else:
             is_first = not was_away
-            if is_first:
+            if found_s >= target.unproven_until_s:
+                process.ended_s = -1
+                process.lost_since_s = found_s
+            elif process.lost_since_s < 0:
                 process.lost_since_s = found_s
             process.lost_s = max(process.lost_s, found_s)
             name = 'target_process_lost'
--- a/siskinproxy/entry/tests/test_lost_targets.py
+++ b/siskinproxy/entry/tests/test_lost_targets.py
@@ -203,6 +203,35 @@
     assert fleet.cold('t-1', 2.2) == ALL
 
 
+@pytest.mark.parametrize(
+    'outcome', [CheckOutcome.UNREACHABLE, CheckOutcome.REFUSED]
+)
+def test_a_second_silence_does_not_end_a_warm_up(fleet, outcome):
+    """Guards against a flow of the new process that speaks for the earlier one.
+
+    It was opened within the warm-up, before the host was silent once more.
+    """
+    if outcome is CheckOutcome.REFUSED:
+        fleet.check('t-1', outcome, 1.0)
+    else:
+        fleet.fail('t-1', outcome, 1.0)
+    fleet.answer('t-1', 2.0)
+    fleet.fail('t-1', CheckOutcome.UNREACHABLE, 2.5)
+    fleet.answer('t-1', 3.0)
+    fleet.progress('t-1', established_s=2.2, since_s=3.0, now_s=3.1)
+    assert fleet.cold('t-1', 3.2) == ALL
+
+
+def test_a_silence_long_after_a_restart_is_judged_on_its_own(fleet):
+    """Guards against a target that is spared for a restart of hours ago."""
+    fleet.check('t-1', CheckOutcome.REFUSED, 1.0)
+    fleet.answer('t-1', 2.0)
+    fleet.fail('t-1', CheckOutcome.UNREACHABLE, 60.0)
+    fleet.answer('t-1', 62.0)
+    fleet.progress('t-1', established_s=50.0, since_s=61.0, now_s=62.1)
+    assert fleet.cold('t-1', 62.2) == set()
+
+
 def lose_zone(fleet, names):
     for name in names:
         fleet.fail(name, CheckOutcome.UNREACHABLE, 1.0)
