Apply a refusal once another target of the zone answers

Cause: all processes stood still for seconds, so that no target of the zone had answered in the 2 s before the host refused a connection. The path might then be cut, and the refusal was forgotten; 8 ms later the new process answered.

Change: a refusal is kept, and counts if another target of the zone answers within 2 s. A check during which the process was paused is repeated at once, not after 2.8 s. A caller that was paused may acknowledge data of before a silence up to 0.5 s late, so a flow speaks for the earlier process only from then on.

--- a/siskinproxy/entry/failure_detector.py
+++ b/siskinproxy/entry/failure_detector.py
@@ -282,7 +282,9 @@
             outcome=result,
             took_ms=round(1000 * (now_s - sent_s)),
         )
-        if outcome is not None:
+        if outcome is None:
+            self._responsiveness.note_paused_check(target, now_s)
+        else:
             changes = self._responsiveness.note_check(
                 target, outcome, sent_s, now_s
             )
--- a/siskinproxy/entry/responsiveness.py
+++ b/siskinproxy/entry/responsiveness.py
@@ -114,6 +114,7 @@
         self._next_due_s: float | None = None
         self._checked_zones_s: dict[str, float] = {}
         self._peer_heard_s: float = -1
+        self._refusals: dict[str, float] = {}
 
     def has_work(self, now_s: float) -> bool:
         """Return whether a check is due or evidence waits to be sent."""
@@ -183,6 +184,7 @@
         record = self._record(target)
         record.served_s = now_s
         self._restarts.note_answered(target, now_s)
+        self._confirm_refusals(record, now_s)
         if self._name and (record.is_suspected or record.witnesses):
             self._outgoing[target.name, Finding.SERVED] = now_s
         return record.clear(now_s, now_s)
@@ -305,6 +307,7 @@
         record = self._record(target)
         if outcome is CheckOutcome.ANSWERED:
             self._restarts.note_answered(target, now_s)
+            self._confirm_refusals(record, now_s)
             if not record.has_relapsed(now_s, self._limits.relapse_s):
                 self._outgoing[target.name, Finding.CHECKED] = now_s
             was_suspected = self._note_checked(record, now_s, now_s)
@@ -317,10 +320,8 @@
         record.failed_checks += 1
         if record.answered_s > sent_s:
             return ()
-        if outcome is CheckOutcome.REFUSED and self._is_path_sound(
-            record, now_s
-        ):
-            self._restarts.note_refused(target, now_s)
+        if outcome is CheckOutcome.REFUSED:
+            self._note_refused(record, now_s)
         if outcome in _POSSIBLE_ENDS and self._may_have_ended(record, sent_s):
             record.lost_s = sent_s
         if record.is_suspected:
@@ -334,6 +335,12 @@
             self._records, self._judge(record, now_s), is_suspected=True
         )
 
+    def note_paused_check(self, target: KnownTarget, now_s: float) -> None:
+        """Repeat a check during which this process was paused."""
+        record = self._record(target)
+        if record.next_check_s is not None:
+            self._schedule(record, now_s)
+
     def apply_report(
         self, report: EvidenceReport, now_s: float
     ) -> tuple[SuspicionChange, ...]:
@@ -547,6 +554,7 @@
         """Delete the state of the target with this name."""
         self._records.pop(name, None)
         self._due.discard(name)
+        self._refusals.pop(name, None)
         self._restarts.forget(name)
 
     def expire(self) -> None:
@@ -561,6 +569,35 @@
             return self._limits.unheard_s
         return self._limits.probe_interval_s
 
+    def _note_refused(self, record: TargetState, now_s: float) -> None:
+        """Report a refusal, now or once another target of the zone answers."""
+        name = record.target.name
+        if self._is_path_sound(record, now_s):
+            self._refusals.pop(name, None)
+            self._restarts.note_refused(record.target, now_s)
+        elif record.zone == self._zone:
+            self._refusals[name] = now_s
+
+    def _confirm_refusals(self, answering: TargetState, now_s: float) -> None:
+        """Apply recent refusals, since a target of the zone answers.
+
+        The target that refused may have answered meanwhile.
+        """
+        if not self._refusals or answering.zone != self._zone:
+            return
+        oldest_s = now_s - self._limits.evidence_age_s
+        for name, refused_s in tuple(self._refusals.items()):
+            record = self._records.get(name)
+            if record is answering:
+                continue
+            del self._refusals[name]
+            if record is not None and refused_s >= oldest_s:
+                self._restarts.note_refused(record.target, refused_s)
+                if record.answered_s > refused_s:
+                    self._restarts.note_answered(
+                        record.target, record.answered_s
+                    )
+
     def _is_path_sound(self, record: TargetState, now_s: float) -> bool:
         """Return whether a refusal must have come from the target's host.
 
--- a/siskinproxy/entry/restarts.py
+++ b/siskinproxy/entry/restarts.py
@@ -49,6 +49,9 @@
 _SAME_RETURN_S: Final = 0.5
 #: Time in which the checks of several targets show a common cause, in seconds.
 _COMMON_CAUSE_S: Final = 1.0
+#: Time for which a caller may take to acknowledge what it got before a silence,
+#: since it was paused itself, in seconds.
+_LATE_CALLER_S: Final = 0.5
 #: Added to the warm-up, for differences between the instances, in seconds.
 _WARMUP_MARGIN_S: Final = 0.2
 
@@ -226,7 +229,7 @@
         lost_s = process.lost_since_s
         if process.has_ended or not 0 <= established_s < lost_s:
             return None
-        if since_s <= process.lost_s:
+        if since_s <= max(process.lost_s, lost_s + _LATE_CALLER_S):
             return None
         self._outgoing[target.name, Finding.SAME] = now_s
         self._prove(target, now_s, 'own flow')
--- a/siskinproxy/entry/tests/test_lost_targets.py
+++ b/siskinproxy/entry/tests/test_lost_targets.py
@@ -180,8 +180,8 @@
 
 @pytest.mark.parametrize(
     ('established_s', 'since_s'),
-    [(1.9, 2.0), (0.5, 0.9), (-1, 1.7)],
-    ids=['opened later', 'data of before', 'opened elsewhere'],
+    [(1.9, 2.0), (0.5, 0.9), (0.5, 1.4), (-1, 1.7)],
+    ids=['opened later', 'data of before', 'late', 'opened elsewhere'],
 )
 def test_other_flows_show_nothing(fleet, established_s, since_s):
     """Guards against a new process that is taken for the earlier one."""
@@ -191,6 +191,33 @@
     assert fleet.cold('t-1', 2.2) == ALL
 
 
+@pytest.mark.parametrize('answers', [('t-2', 't-1'), ('t-1', 't-2')])
+def test_a_refusal_counts_once_another_target_answers(fleet, answers):
+    """Guards against a restart that is missed since there was no traffic.
+
+    No other target had answered for seconds when the host refused, so the path
+    might have been cut.
+    """
+    fleet.check('t-1', CheckOutcome.REFUSED, 10.0, ['a-1'], others_answer=False)
+    assert fleet.cold('t-1', 10.0) == set()
+    for step, name in enumerate(answers):
+        fleet.answer(name, 10.1 + step / 10)
+    assert fleet.cold('t-1', 10.1 + WARMUP_S) == ALL
+    assert fleet.cold('t-1', 10.2 + WARMUP_S + 0.3) == set()
+
+
+def test_a_check_during_a_pause_is_repeated_at_once(fleet):
+    """Guards against a silent host that is not checked for seconds."""
+    instance = fleet.instances['a-1']
+    known = instance.targets['t-1']
+    instance.detection.note_unanswered(known, 0.9, 1.0)
+    due_s = 1.0 + len(ZONES['a'])
+    assert instance.detection.take_due_checks(due_s, 9) == (known,)
+    assert not instance.detection.take_due_checks(due_s + 0.7, 9)
+    instance.detection.note_paused_check(known, due_s + 0.8)
+    assert instance.detection.take_due_checks(due_s + 0.8, 9) == (known,)
+
+
 def test_a_refused_connection_outweighs_silence(fleet):
     """Guards against a new process that counts as the earlier one.
 
